--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,233 @@
+#include "config/config.hpp"
+
+#include <rapidjson/document.h>
+#include <rapidjson/error/en.h>
+
+#include <charconv>
+#include <cmath>
+#include <cstdlib>
+#include <fstream>
+#include <optional>
+#include <sstream>
+
+#include "net/stream.hpp"
+
+namespace slatejunction::config {
+namespace {
+
+using Json = rapidjson::Value;
+
+// An object and its path, for messages that name the field.
+class Node {
+  public:
+    Node(const Json& json, std::string path) : json_(json), path_(std::move(path)) {
+        if (!json_.IsObject()) throw Bad(path_ + " is not an object");
+    }
+    std::string at(const char* name) const { return path_.empty() ? name : path_ + "." + name; }
+    const Json* find(const char* name) const {
+        const auto at = json_.FindMember(name);
+        return at == json_.MemberEnd() || at->value.IsNull() ? nullptr : &at->value;
+    }
+    const Json& need(const char* name) const {
+        const Json* value = find(name);
+        if (!value) throw Bad(at(name) + " is missing");
+        return *value;
+    }
+    std::optional<Node> node(const char* name) const {
+        const Json* value = find(name);
+        return value ? std::optional<Node>(Node(*value, at(name))) : std::nullopt;
+    }
+    std::string text(const char* name) const { return find(name) ? text_of(*find(name), at(name)) : ""; }
+    std::string needed_text(const char* name) const {
+        std::string value = text_of(need(name), at(name));
+        if (value.empty()) throw Bad(at(name) + " is empty");
+        return value;
+    }
+    double real(const char* name, double otherwise = 0) const {
+        return find(name) ? needed_real(name) : otherwise;
+    }
+    double needed_real(const char* name) const {
+        const Json& value = need(name);
+        if (!value.IsNumber() || !std::isfinite(value.GetDouble()))
+            throw Bad(at(name) + " is not a number");
+        return value.GetDouble();
+    }
+    double positive(const char* name, double otherwise) const {
+        const double value = real(name, otherwise);
+        if (value <= 0) throw Bad(at(name) + " is not above 0");
+        return value;
+    }
+    bool flag(const char* name) const {
+        const Json* value = find(name);
+        if (value && !value->IsBool()) throw Bad(at(name) + " is neither true nor false");
+        return value && value->GetBool();
+    }
+    template <class Use>   // each element of a list, with its path
+    void each(const char* name, Use use) const {
+        const Json* list = find(name);
+        if (!list) return;
+        if (!list->IsArray()) throw Bad(at(name) + " is not a list");
+        for (rapidjson::SizeType i = 0; i < list->Size(); ++i)
+            use((*list)[i], at(name) + "[" + std::to_string(i) + "]");
+    }
+    static std::string text_of(const Json& value, const std::string& path) {
+        if (!value.IsString()) throw Bad(path + " is not a text");
+        return {value.GetString(), value.GetStringLength()};
+    }
+
+  private:
+    const Json& json_;
+    std::string path_;
+};
+
+template <class T>
+T one_of(const Node& node, const char* name, std::initializer_list<std::pair<const char*, T>> choices,
+         std::optional<T> otherwise = {}) {
+    const std::string word = node.text(name);
+    for (const auto& [text, value] : choices)
+        if (word == text) return value;
+    if (word.empty() && otherwise) return *otherwise;
+    throw Bad(node.at(name) + " is unknown: '" + word + "'");
+}
+
+marbleplank::ServiceClass read_class(const Node& node) {
+    using marbleplank::Effect, marbleplank::Group;
+    marbleplank::ServiceClass c;
+    c.name = node.needed_text("Name");
+    c.aim_s = node.needed_real("AimS");
+    c.deadline_s = node.real("DeadlineS");
+    c.effect = one_of<Effect>(
+        node, "Effect",
+        {{"pure", Effect::pure}, {"token", Effect::token}, {"side_effect", Effect::side_effect}});
+    c.group = one_of<Group>(
+        node, "Group", {{"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}}, Group::all);
+    c.window_s = node.real("WindowS");
+    c.stream = node.flag("Stream");
+    c.worth = node.real("Worth");
+    c.late_worth = node.real("LateWorth");
+    return c;
+}
+
+marbleplank::Plan read_plan(const Node& node) {
+    marbleplank::Plan p;
+    p.name = node.needed_text("Name");
+    p.rate = node.real("UnitsPerS");
+    p.burst = node.real("Depth");
+    p.ceiling_rate = node.real("CeilingRate");
+    p.ceiling_burst = node.real("HardBurst");
+    p.ceiling_slack = node.real("Tolerance");
+    p.max_out = node.real("MaxOut");
+    p.price = node.real("Price");
+    p.over_worth = node.real("ExtraWorth");
+    p.over_cost = node.real("OverCost");
+    return p;
+}
+
+void read_settings(const Node& node, Config& config) {
+    marbleplank::Settings& s = config.settings;
+    node.need("Services");
+    node.each("Services",
+              [&](const Json& one, std::string path) { s.classes.push_back(read_class(Node(one, path))); });
+    if (s.classes.empty()) throw Bad(node.at("Services") + " is empty");
+    node.each("Contracts",
+              [&](const Json& one, std::string path) { s.plans.push_back(read_plan(Node(one, path))); });
+    if (const auto reports = node.node("Telemetry")) {
+        const std::string how = reports->text("How");
+        if (how == "inline" || how == "on_probe")
+            reports->each("Fields", [&](const Json& one, const std::string& path) {
+                s.report_fields.push_back(Node::text_of(one, path));
+            });
+        s.reports_on_probe_only = how == "on_probe";
+    }
+    s.zone = node.text("Zone");
+    s.discovery = one_of<marbleplank::Discovery>(node, "Discovery",
+                                                 {{"automatic", marbleplank::Discovery::automatic},
+                                                  {"subscribe", marbleplank::Discovery::subscribe}},
+                                                 marbleplank::Discovery::automatic);
+    s.my_number = static_cast<std::int64_t>(node.real("MyNumber"));
+    s.balancers = node.needed_real("Balancers");
+    s.quantum_s = node.real("QuantumS");
+    if (const auto info = node.node("FamilyInfo")) {
+        s.meter_period_s = info->real("MeterPeriodS");
+        s.largest_units = info->real("UnitsTop");
+    }
+    const Node limits(node.need("Limits"), node.at("Limits"));
+    s.attempts_cap = limits.needed_real("AttemptsCap");
+    s.parallel_tries = limits.flag("ParallelTries");
+    s.cancel = limits.flag("Cancel");
+    s.probes = limits.flag("Probes");
+    s.retry_after = limits.flag("RetryAfter");
+    s.max_retry_after_s = limits.real("MaxRetryAfterS");
+    config.max_open = static_cast<std::size_t>(std::max(0.0, limits.real("MaxOpen")));
+    config.dial_timeout_s = limits.positive("DialTimeoutS", config.dial_timeout_s);
+    config.keepalive_s = limits.positive("KeepaliveS", config.keepalive_s);
+    if (const auto rules = node.node("Rules")) {
+        s.ask_within_s = rules->real("AskWithinS");
+        s.cold_from = rules->real("ColdFrom");
+        s.warm_within_s = rules->real("WarmWithinS");
+        s.fall_multiple = rules->real("FallMultiple");
+        s.fall_s = rules->real("FallS");
+    }
+}
+
+void check_address(const std::string& address, const char* field) {
+    if (!net::parse_address(address))
+        throw Bad(std::string(field) + " is no address and port: '" + address + "'");
+}
+
+}   // namespace
+
+Config read(const std::string& text, const directory::UnixClock& clock) {
+    rapidjson::Document json;
+    json.Parse(text.data(), text.size());
+    if (json.HasParseError())
+        throw Bad(
+            "configuration is not JSON: " + std::string(rapidjson::GetParseError_En(json.GetParseError())) +
+            " at byte " + std::to_string(json.GetErrorOffset()));
+    const Node root(json, "");
+    Config config;
+    config.name = root.text("name");
+    config.listen = root.text("listen");
+    config.directory = root.text("discovery");
+    if (const std::string seed = root.text("seed"); !seed.empty()) {
+        const char* last = seed.data() + seed.size();
+        const auto [end, fault] = std::from_chars(seed.data(), last, config.seed, 16);
+        if (fault != std::errc() || end != last) throw Bad("seed is not hexadecimal: '" + seed + "'");
+    }
+    if (const auto limits = root.node("limits")) {
+        const double sockets = limits->positive("sockets", static_cast<double>(config.sockets));
+        if (sockets < 64) throw Bad("limits.sockets is under 64");
+        config.sockets = static_cast<std::size_t>(std::min(sockets, 1e6));
+    }
+    read_settings(Node(root.need("settings"), "settings"), config);
+    int broken = 0;
+    if (const Json* known = root.find("known"); known && !read_listing(*known, clock, config.known, broken))
+        throw Bad("known is not a list of the directory");
+    config.known.update.kind = marbleplank::ListKind::warm_copy;
+    return config;
+}
+
+Config load(const std::string& path, const directory::UnixClock& clock) {
+    const auto variable = [](const char* name) {
+        const char* value = std::getenv(name);
+        return std::string(value ? value : "");
+    };
+    const std::string file = path.empty() ? variable("NODE_CONFIG") : path;
+    if (file.empty()) throw Bad("NODE_CONFIG is missing");
+    std::ifstream in(file, std::ios::binary);
+    std::stringstream text;
+    text << in.rdbuf();
+    if (!in || text.str().empty()) throw Bad("NODE_CONFIG can't be read: '" + file + "'");
+    Config config = read(text.str(), clock);
+    const auto override_by = [&](std::string& value, const char* name) {
+        if (const std::string set = variable(name); !set.empty()) value = set;
+    };
+    override_by(config.name, "NODE_NAME");
+    override_by(config.listen, "NODE_LISTEN");
+    override_by(config.directory, "NODE_DISCOVERY");
+    check_address(config.listen, "NODE_LISTEN");
+    check_address(config.directory, "NODE_DISCOVERY");
+    return config;
+}
+
+}   // namespace slatejunction::config
--- /dev/null
+++ b/src/consumer/invocation.hpp
@@ -0,0 +1,35 @@
+// One request of a consumer, as any protocol would hand it to the decisions.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
+#include "http/message.hpp"
+
+namespace slatejunction::consumer {
+
+// The views point into `bytes`, which lives as long as any invoker call may still be writing from it.
+struct Invocation {
+    http::Buffer bytes;
+    std::string_view method, target, request_id, content_type, body;
+    std::string_view service_class, plan;
+    std::uint64_t customer = 0;
+    double units = 0, doors = 0;
+    double arrived = 0, due = 0;   // s, net::now(): its last byte, and when the consumer stops waiting
+    bool repeat = false;
+};
+
+enum class Fault { none, bad_request, not_found };
+
+// Reads the fields of a parsed request; `why` names the first that is missing or unreadable.
+Fault read_invocation(const http::Head& head, double now, Invocation& invocation, const char*& why);
+
+// How an invocation ended, for the consumer.
+struct Answer {
+    int status = 200;
+    double retry_after_s = 0;   // 0: no advice
+    std::string_view content_type, body;
+};
+
+}   // namespace slatejunction::consumer
--- /dev/null
+++ b/src/consumer/server.hpp
@@ -0,0 +1,34 @@
+// All consumer connections: takes them in, keeps them inside their share of the descriptors.
+#pragma once
+
+#include <unordered_map>
+
+#include "consumer/session.hpp"
+#include "net/listener.hpp"
+
+namespace slatejunction::consumer {
+
+class Server {
+  public:
+    Server(SessionHost& host, net::Timers& timers, std::size_t most);
+    bool start(const std::string& address, std::string& why) { return listener_.start(address, why); }
+    void sweep(double now);                     // ends connections that are stuck
+    void end_idle(double now, double idle_s);   // those idle that long
+    void forget(Session& session);
+    void stop() { listener_.stop(); }
+    std::size_t sessions() const { return sessions_.size(); }
+    double last_taken() const { return last_taken_; }
+
+  private:
+    struct Linked;
+    bool room();
+    void take(net::Ref<GSocket> socket);
+
+    SessionHost& host_;
+    const std::size_t most_;
+    double last_taken_ = 0;
+    net::Listener listener_;
+    std::unordered_map<Session*, std::shared_ptr<Linked>> sessions_;
+};
+
+}   // namespace slatejunction::consumer
--- /dev/null
+++ b/src/directory/listing.cpp
@@ -0,0 +1,84 @@
+#include "directory/listing.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+#include "net/glib.hpp"
+#include "net/stream.hpp"
+
+namespace slatejunction::directory {
+
+using marbleplank::ListKind;
+using marbleplank::ServerState;
+
+UnixClock::UnixClock() {
+    const auto unix_now = std::chrono::system_clock::now().time_since_epoch();
+    offset_s_ = std::chrono::duration<double>(unix_now).count() - net::now();
+}
+
+double UnixClock::monotonic(double unix_ms) const {
+    return unix_ms > 0 ? std::max(unix_ms / 1000 - offset_s_, 1e-6) : 0;
+}
+
+namespace {
+
+bool read_entry(const rapidjson::Value& json, const UnixClock& clock, marbleplank::ListEntry& entry,
+                std::string& address) {
+    if (!json.IsObject()) return false;
+    const auto text = [&](const char* name) {
+        const auto at = json.FindMember(name);
+        return at != json.MemberEnd() && at->value.IsString()
+                   ? std::string(at->value.GetString(), at->value.GetStringLength())
+                   : std::string();
+    };
+    const auto number = [&](const char* name) {
+        const auto at = json.FindMember(name);
+        return at != json.MemberEnd() && at->value.IsNumber() ? at->value.GetDouble() : 0.0;
+    };
+    entry.server = text("id");
+    const std::string phase = text("phase");
+    if (phase == "Ready")
+        entry.state = ServerState::in;
+    else if (phase == "Terminating")
+        entry.state = ServerState::lame;
+    else if (phase == "Gone")
+        entry.state = ServerState::out;
+    else
+        return false;
+    address = text("host_port");
+    entry.kind = text("flavor");
+    entry.zone = text("locality");
+    entry.capacity_hint = number("size");
+    entry.cell = static_cast<std::int64_t>(number("cell"));
+    entry.born_s = clock.monotonic(number("up_since_ms"));
+    return !entry.server.empty() && (entry.state != ServerState::in || net::parse_address(address));
+}
+
+}   // namespace
+
+bool read_listing(const rapidjson::Value& json, const UnixClock& clock, Listing& listing, int& broken) {
+    broken = 0;
+    if (!json.IsObject()) return false;
+    const auto revision = json.FindMember("revision"), complete = json.FindMember("complete"),
+               members = json.FindMember("members");
+    if (revision == json.MemberEnd() || !revision->value.IsInt64() || complete == json.MemberEnd() ||
+        !complete->value.IsBool() || members == json.MemberEnd() || !members->value.IsArray())
+        return false;
+    listing.revision = revision->value.GetInt64();
+    listing.update.entries.clear();
+    listing.addresses.clear();
+    for (const rapidjson::Value& member : members->value.GetArray()) {
+        marbleplank::ListEntry entry;
+        std::string address;
+        if (!read_entry(member, clock, entry, address)) {
+            ++broken;
+            continue;
+        }
+        listing.update.entries.push_back(std::move(entry));
+        listing.addresses.push_back(std::move(address));
+    }
+    listing.update.kind = complete->value.GetBool() && broken == 0 ? ListKind::total : ListKind::changes;
+    return true;
+}
+
+}   // namespace slatejunction::directory
--- /dev/null
+++ b/src/directory/watch.cpp
@@ -0,0 +1,115 @@
+#include "directory/watch.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace slatejunction::directory {
+namespace {
+
+constexpr int kWaitMs = 20000;   // how long a watch call waits for news
+constexpr double kGrace = 1.5;   // s; over that, a silent directory's call is given up
+constexpr double kDial = 1.0;    // s
+constexpr double kFirstPause = 0.05, kLongestPause = 1.0;   // s; before asking again after a failure
+
+}   // namespace
+
+Watch::Watch(WatchHost& host, net::Timers& timers, const UnixClock& clock, std::string authority)
+    : host_(host),
+      clock_(clock),
+      timer_(timers, [this] { overdue(); }),
+      authority_(std::move(authority)),
+      parser_(http::Parser::Kind::response) {}
+
+void Watch::attach(net::Transport& transport, std::function<bool()> dial) {
+    transport_ = &transport;
+    dial_ = std::move(dial);
+}
+
+void Watch::start(std::int64_t known_revision) {
+    revision_ = known_revision;
+    dial();
+}
+
+void Watch::ask_soon() {
+    if (state_ == State::waiting) dial();
+}
+
+void Watch::dial() {
+    buffer_.clear();
+    parser_.reset();
+    state_ = State::dialling;
+    timer_.arm(net::now() + kDial);
+    if (!dial_()) fail("it can't be dialled");
+}
+
+void Watch::on_open() { ask(); }
+
+// The next call follows each answer at once: the directory ends a watch that pauses for 200 ms.
+void Watch::ask() {
+    std::array<char, 96> query{};
+    if (revision_ > 0)
+        std::snprintf(query.data(), query.size(), "?index=%lld&wait=%d", static_cast<long long>(revision_),
+                      kWaitMs);
+    const std::array<std::string_view, 5> parts{"GET /registry/instances", query.data(),
+                                                " HTTP/1.1\r\nHost: ", authority_, "\r\n\r\n"};
+    state_ = State::asking;
+    timer_.arm(net::now() + (revision_ > 0 ? kWaitMs / 1000.0 : 0) + kGrace);
+    if (!transport_->send(parts)) fail("the connection broke");
+}
+
+void Watch::on_bytes(std::size_t size) {
+    buffer_.commit(size);
+    if (state_ != State::asking) return fail("an answer to no call");
+    const http::Step step = parser_.feed(buffer_);
+    if (step == http::Step::more) return;
+    if (step != http::Step::done) return fail("an answer that can't be read");
+    take();
+}
+
+void Watch::take() {
+    if (parser_.head().status != 200) return fail("an answer other than 200");
+    rapidjson::Document json;
+    json.Parse(parser_.body().data(), parser_.body().size());
+    Listing listing;
+    int broken = 0;
+    if (json.HasParseError() || !read_listing(json, clock_, listing, broken)) {
+        revision_ = 0;   // what it meant is lost: the whole list tells it again
+        return fail("a list that can't be read");
+    }
+    const bool reusable = parser_.head().keep_alive && parser_.used() == buffer_.view().size();
+    revision_ = listing.revision;
+    failures_ = 0;
+    parser_.reset();
+    buffer_.clear();
+    if (reusable) {
+        ask();
+    } else {
+        transport_->close();
+        dial();
+    }
+    host_.on_listing(listing);
+    if (broken > 0) host_.on_lost("entries that can't be read were left out");
+}
+
+void Watch::on_end(bool) {
+    if (state_ == State::asking && parser_.feed(buffer_, true) == http::Step::done) return take();
+    fail("the connection ended");
+}
+
+void Watch::overdue() {
+    if (state_ == State::waiting)
+        dial();
+    else
+        fail("no answer in time");
+}
+
+void Watch::fail(const char* why) {
+    transport_->close();
+    state_ = State::waiting;
+    timer_.arm(net::now() + std::min(kLongestPause, kFirstPause * (1 << std::min(failures_, 5))));
+    ++failures_;
+    host_.on_lost(why);
+}
+
+}   // namespace slatejunction::directory
--- /dev/null
+++ b/src/directory/watch.hpp
@@ -0,0 +1,55 @@
+// Keeps a watch on the directory: one call after another on one connection, fed bytes.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "directory/listing.hpp"
+#include "http/message.hpp"
+#include "net/stream.hpp"
+#include "net/timers.hpp"
+
+namespace slatejunction::directory {
+
+class WatchHost {
+  public:
+    virtual ~WatchHost() = default;
+    virtual void on_listing(Listing& listing) = 0;
+    virtual void on_lost(const char* why) = 0;   // a call failed; another one follows by itself
+};
+
+class Watch : public net::Protocol {
+  public:
+    // `dial` begins a connection on the transport; false: it failed at once.
+    Watch(WatchHost& host, net::Timers& timers, const UnixClock& clock, std::string authority);
+    void attach(net::Transport& transport, std::function<bool()> dial);
+
+    void start(std::int64_t known_revision);   // 0: nothing is known
+    void ask_soon();                           // a call now, unless one is out
+
+    void on_open() override;
+    std::span<char> space() override { return parser_.room(buffer_); }
+    void on_bytes(std::size_t size) override;
+    void on_end(bool clean) override;
+
+  private:
+    void dial();
+    void ask();
+    void take();
+    void fail(const char* why);
+    void overdue();
+
+    WatchHost& host_;
+    const UnixClock& clock_;
+    net::Transport* transport_ = nullptr;
+    std::function<bool()> dial_;
+    net::Timer timer_;
+    const std::string authority_;
+    http::Parser parser_;
+    http::Buffer buffer_;
+    std::int64_t revision_ = 0;
+    int failures_ = 0;
+    enum class State { waiting, dialling, asking } state_ = State::waiting;
+};
+
+}   // namespace slatejunction::directory
--- /dev/null
+++ b/src/http/message.cpp
@@ -0,0 +1,257 @@
+#include "http/message.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+
+namespace slatejunction::http {
+namespace {
+
+char lowered(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c; }
+
+bool is_token(std::string_view text) {
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [&](char c) {
+        return (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z') ||
+               marks.find(c) != std::string_view::npos;
+    });
+}
+
+bool is_value(std::string_view text) {
+    return std::all_of(text.begin(), text.end(),
+                       [](unsigned char c) { return (c >= 0x20 && c != 0x7f) || c == '\t'; });
+}
+
+std::string_view trimmed(std::string_view text) {
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) text.remove_suffix(1);
+    return text;
+}
+
+bool read_size(std::string_view text, int base, std::size_t& size) {
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), size, base);
+    return !text.empty() && fault == std::errc() && end == text.data() + text.size();
+}
+
+}   // namespace
+
+bool same_word(std::string_view text, std::string_view lower) {
+    return text.size() == lower.size() && std::equal(text.begin(), text.end(), lower.begin(),
+                                                     [](char a, char b) { return lowered(a) == b; });
+}
+
+std::span<char> Buffer::space(std::size_t least) {
+    if (capacity_ - size_ < least) {
+        const std::size_t wanted = std::max(size_ + least, std::max<std::size_t>(2 * capacity_, 2048));
+        auto bigger = std::make_unique_for_overwrite<char[]>(wanted);
+        if (size_ > 0) std::memcpy(bigger.get(), data_.get(), size_);
+        data_ = std::move(bigger);
+        capacity_ = wanted;
+    }
+    return {data_.get() + size_, capacity_ - size_};
+}
+
+void Buffer::drop_front(std::size_t n) {
+    size_ -= n;
+    if (size_ > 0) std::memmove(data_.get(), data_.get() + n, size_);
+}
+
+const std::string_view* Head::find(std::string_view lower, bool* repeated) const {
+    const std::string_view* found = nullptr;
+    for (std::size_t i = 0; i < count; ++i) {
+        if (!same_word(fields[i].name, lower)) continue;
+        if (found) {
+            if (repeated) *repeated = true;
+            break;
+        }
+        found = &fields[i].value;
+        if (!repeated) break;
+    }
+    return found;
+}
+
+void Parser::reset() {
+    have_head_ = false;
+    scanned_ = body_at_ = body_size_ = used_ = chunk_at_ = 0;
+    body_ = {};
+}
+
+std::span<char> Parser::room(Buffer& buffer) const {
+    return have_head_ ? buffer.space(0) : buffer.space(1024);
+}
+
+// Framing that takes more room than was made for it is as good as a body that is too large.
+Step Parser::feed(Buffer& buffer, bool ended) {
+    const Step step = look(buffer, ended);
+    const bool full = have_head_ && buffer.view().size() == buffer.capacity();
+    return step == Step::more && full ? Step::body_too_large : step;
+}
+
+Step Parser::look(Buffer& buffer, bool ended) {
+    if (!have_head_) {
+        while (kind_ == Kind::request && buffer.view().starts_with("\r\n")) buffer.drop_front(2);
+        const std::string_view text = buffer.view();
+        const std::size_t from = scanned_ > 3 ? scanned_ - 3 : 0;
+        const std::size_t end = text.find("\r\n\r\n", from);
+        scanned_ = text.size();
+        // A head that never ends must not fill the memory.
+        if (end == std::string_view::npos)
+            return text.size() > kHeadMost ? Step::head_too_large : Step::more;
+        if (end + 4 > kHeadMost) return Step::head_too_large;
+        body_at_ = end + 4;
+        if (const Step step = parse_head(text.substr(0, end + 2)); step != Step::done) return step;
+        if (const Step step = parse_framing(); step != Step::done) return step;
+        if (kind_ == Kind::response && head_.status < 200) {   // an interim answer: the real one follows
+            buffer.drop_front(body_at_);
+            reset();
+            return look(buffer, ended);
+        }
+        // The views of the head must stay valid while the body comes: all room it may need is made now.
+        std::size_t whole = body_at_;
+        if (framing_ == Framing::length) whole += body_size_;
+        if (framing_ == Framing::chunked || framing_ == Framing::until_end) whole += 2 * kBodyMost;
+        if (whole > buffer.capacity()) {
+            buffer.space(whole - buffer.view().size());
+            parse_head(buffer.view().substr(0, end + 2));
+        }
+        have_head_ = true;
+        chunk_at_ = body_at_;
+    }
+    const std::size_t have = buffer.view().size() - body_at_;
+    switch (framing_) {
+        case Framing::none:
+            used_ = body_at_;
+            break;
+        case Framing::length:
+            if (have < body_size_) return Step::more;
+            used_ = body_at_ + body_size_;
+            break;
+        case Framing::chunked:
+            if (const Step step = feed_chunks(buffer); step != Step::done) return step;
+            break;
+        case Framing::until_end:
+            if (have > kBodyMost) return Step::body_too_large;
+            if (!ended) return Step::more;
+            body_size_ = have;
+            used_ = body_at_ + have;
+            break;
+    }
+    body_ = buffer.view().substr(body_at_, body_size_);
+    return Step::done;
+}
+
+bool Parser::parse_start(std::string_view line) {
+    const std::size_t one = line.find(' ');
+    if (one == std::string_view::npos) return false;
+    if (kind_ == Kind::response) {
+        const std::string_view version = line.substr(0, one);
+        std::size_t status = 0;
+        if (version != "HTTP/1.1" && version != "HTTP/1.0") return false;
+        if (line.size() < one + 4 || !read_size(line.substr(one + 1, 3), 10, status)) return false;
+        if (line.size() > one + 4 && line[one + 4] != ' ') return false;
+        head_.status = static_cast<int>(status);
+        head_.keep_alive = version == "HTTP/1.1";
+        return status >= 100;
+    }
+    const std::size_t two = line.find(' ', one + 1);
+    if (two == std::string_view::npos) return false;
+    head_.first = line.substr(0, one);
+    head_.second = line.substr(one + 1, two - one - 1);
+    const std::string_view version = line.substr(two + 1);
+    head_.keep_alive = version == "HTTP/1.1";
+    return is_token(head_.first) && head_.second.starts_with('/') &&
+           std::all_of(head_.second.begin(), head_.second.end(),
+                       [](unsigned char c) { return c > 0x20 && c < 0x7f; }) &&
+           (version == "HTTP/1.1" || version == "HTTP/1.0");
+}
+
+Step Parser::parse_head(std::string_view text) {
+    head_.count = 0;
+    bool start = true;
+    while (!text.empty()) {
+        const std::size_t end = text.find("\r\n");
+        const std::string_view line = text.substr(0, end);
+        text.remove_prefix(end + 2);
+        if (start) {
+            if (!parse_start(line)) return Step::bad;
+            start = false;
+            continue;
+        }
+        const std::size_t colon = line.find(':');
+        if (colon == std::string_view::npos || !is_token(line.substr(0, colon))) return Step::bad;
+        if (head_.count == kFieldsMost) return Step::head_too_large;
+        const std::string_view value = trimmed(line.substr(colon + 1));
+        if (!is_value(value)) return Step::bad;
+        head_.fields[head_.count++] = {line.substr(0, colon), value};
+    }
+    return start ? Step::bad : Step::done;
+}
+
+// Guards against request smuggling: where two readers could see two lengths, there is none.
+Step Parser::parse_framing() {
+    bool twice = false;
+    const std::string_view* length = head_.find("content-length", &twice);
+    const std::string_view* coding = head_.find("transfer-encoding", &twice);
+    if (twice || (length && coding)) return Step::bad;
+    body_size_ = 0;
+    framing_ = kind_ == Kind::request ? Framing::none : Framing::until_end;
+    if (const std::string_view* connection = head_.find("connection")) {
+        std::string_view rest = *connection;
+        while (!rest.empty()) {
+            const std::size_t comma = std::min(rest.find(','), rest.size());
+            const std::string_view word = trimmed(rest.substr(0, comma));
+            if (same_word(word, "close")) head_.keep_alive = false;
+            if (same_word(word, "keep-alive")) head_.keep_alive = true;
+            rest.remove_prefix(std::min(comma + 1, rest.size()));
+        }
+    }
+    if (coding) {
+        if (!same_word(*coding, "chunked")) return Step::bad;
+        framing_ = Framing::chunked;
+    } else if (length) {
+        if (length->size() > 18 || !read_size(*length, 10, body_size_)) return Step::bad;
+        if (body_size_ > kBodyMost) return Step::body_too_large;
+        framing_ = Framing::length;
+    }
+    if (kind_ == Kind::response && (head_.status == 204 || head_.status == 304 || head_.status < 200))
+        framing_ = Framing::none, body_size_ = 0;
+    return Step::done;
+}
+
+// Joins the chunks in place: the body grows behind the head, the framing still to read lies after it.
+Step Parser::feed_chunks(Buffer& buffer) {
+    for (;;) {
+        const std::string_view text = buffer.view();
+        const std::size_t line_end = text.find("\r\n", chunk_at_);
+        if (line_end == std::string_view::npos) {
+            if (text.size() - chunk_at_ > 256) return Step::bad;
+            return Step::more;
+        }
+        std::string_view line = text.substr(chunk_at_, line_end - chunk_at_);
+        line = trimmed(line.substr(0, line.find(';')));
+        std::size_t size = 0;
+        if (line.size() > 8 || !read_size(line, 16, size)) return Step::bad;
+        if (body_size_ + size > kBodyMost) return Step::body_too_large;
+        if (size == 0) {
+            // The end: trailers, which are dropped, up to an empty line.
+            for (std::size_t at = line_end + 2;;) {
+                const std::size_t end = text.find("\r\n", at);
+                if (end == std::string_view::npos || end + 2 - line_end > kHeadMost)
+                    return text.size() - line_end > kHeadMost ? Step::head_too_large : Step::more;
+                if (end == at) {
+                    used_ = end + 2;
+                    return Step::done;
+                }
+                at = end + 2;
+            }
+        }
+        const std::size_t data = line_end + 2;
+        if (text.size() < data + size + 2) return Step::more;
+        if (text.substr(data + size, 2) != "\r\n") return Step::bad;
+        std::memmove(buffer.data() + body_at_ + body_size_, buffer.data() + data, size);
+        body_size_ += size;
+        chunk_at_ = data + size + 2;
+    }
+}
+
+}   // namespace slatejunction::http
--- /dev/null
+++ b/src/http/message.hpp
@@ -0,0 +1,85 @@
+// HTTP/1.1 messages, parsed in place. Knows no socket: a driver puts bytes into a Buffer, a Parser looks at
+// them, and the views it gives point into that Buffer.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <memory>
+#include <span>
+#include <string_view>
+
+namespace slatejunction::http {
+
+inline constexpr std::size_t kHeadMost = 8 * 1024;
+inline constexpr std::size_t kBodyMost = 64 * 1024;   // what the protocol allows a body
+inline constexpr std::size_t kFieldsMost = 48;
+
+// Bytes read and not used yet. Moving it keeps the views into it valid; growing it does not.
+class Buffer {
+  public:
+    std::span<char> space(std::size_t least);   // free room at the end, grown if it is under `least`
+    void commit(std::size_t n) { size_ += n; }
+    std::string_view view() const { return {data_.get(), size_}; }
+    char* data() { return data_.get(); }
+    std::size_t capacity() const { return capacity_; }
+    void clear() { size_ = 0; }
+    void drop_front(std::size_t n);
+
+  private:
+    std::unique_ptr<char[]> data_;
+    std::size_t size_ = 0, capacity_ = 0;
+};
+
+struct Field {
+    std::string_view name, value;
+};
+
+// Start line and fields. For a request `first` is the method and `second` the target.
+struct Head {
+    std::string_view first, second;
+    int status = 0;   // of a response
+    bool keep_alive = true;
+    std::array<Field, kFieldsMost> fields;
+    std::size_t count = 0;
+
+    // The field of that name (lower case); `repeated` tells of a second one.
+    const std::string_view* find(std::string_view lower, bool* repeated = nullptr) const;
+};
+
+enum class Step { more, done, bad, head_too_large, body_too_large };
+
+// One message after another out of one Buffer that begins with it.
+class Parser {
+  public:
+    enum class Kind { request, response };
+    explicit Parser(Kind kind) : kind_(kind) {}
+
+    // Where the next bytes go. Once the head is known the Buffer does not grow, as the views point into it.
+    std::span<char> room(Buffer& buffer) const;
+    // Looks at what has come. `ended`: no more will.
+    Step feed(Buffer& buffer, bool ended = false);
+    const Head& head() const { return head_; }
+    std::string_view body() const { return body_; }
+    std::size_t used() const { return used_; }   // bytes of the Buffer that the message took
+    void reset();
+
+  private:
+    enum class Framing { none, length, chunked, until_end };
+    Step look(Buffer& buffer, bool ended);
+    Step parse_head(std::string_view text);
+    bool parse_start(std::string_view line);
+    Step parse_framing();
+    Step feed_chunks(Buffer& buffer);
+
+    Kind kind_;
+    Head head_;
+    bool have_head_ = false;
+    Framing framing_ = Framing::none;
+    std::size_t scanned_ = 0, body_at_ = 0, body_size_ = 0, used_ = 0;
+    std::size_t chunk_at_ = 0;   // next byte of chunked framing to look at
+    std::string_view body_;
+};
+
+bool same_word(std::string_view text, std::string_view lower);   // without regard to case
+
+}   // namespace slatejunction::http
--- /dev/null
+++ b/src/ingress/ingress.cpp
@@ -0,0 +1,264 @@
+#include "ingress/ingress.hpp"
+
+#include <charconv>
+
+namespace slatejunction::ingress {
+
+using marbleplank::Outcome;
+
+namespace {
+
+constexpr std::size_t kReserve = 32;       // descriptors: standard streams, listener, directory, GLib's own
+constexpr double kSweepEvery = 1.0;        // s
+constexpr double kStopSweepEvery = 0.05;   // s, while stopping
+// New connections come for some tenths of a second after the stop, and on those open more requests may.
+constexpr double kStillComing = 0.6;   // s after the stop in which idle connections are kept
+constexpr double kQuiet = 0.15;        // s without use before one ends after that
+constexpr double kNearDue = 0.05;      // s; an abort so near to the due time is a time-out
+
+provider::PoolLimits limits_of(const config::Config& config) {
+    return {(config.sockets - kReserve) * 2 / 5, config.dial_timeout_s, config.keepalive_s};
+}
+
+}   // namespace
+
+struct Ingress::WatchLink : directory::Watch {
+    WatchLink(directory::WatchHost& host, net::Timers& timers, const directory::UnixClock& clock,
+              const std::string& authority)
+        : Watch(host, timers, clock, authority), address(net::parse_address(authority)) {
+        attach(stream, [this] { return stream.dial(address.get()); });
+    }
+    net::Address address;
+    net::Stream stream{*this};
+};
+
+Ingress::Ingress(config::Config config, const directory::UnixClock& clock, Log& log,
+                 std::function<void()> done)
+    : log_(log),
+      done_(std::move(done)),
+      config_(std::move(config)),
+      module_timer_(timers_, [this] { timers_due(); }),
+      sweep_timer_(timers_, [this] { sweep(); }),
+      gateway_(config_.settings, config_.seed),
+      pool_(*this, timers_, limits_of(config_), config_.settings.report_fields),
+      server_(*this, timers_, config_.sockets - kReserve - limits_of(config_).connections),
+      watch_(std::make_shared<WatchLink>(static_cast<directory::WatchHost&>(*this), timers_, clock,
+                                         config_.directory)) {}
+
+Ingress::~Ingress() = default;
+
+bool Ingress::start(std::string& why) {
+    tell(marbleplank::Start{});
+    pool_.update(config_.known);
+    tell(config_.known.update);
+    if (!server_.start(config_.listen, why)) return false;
+    watch_->start(config_.known.revision);
+    sweep_timer_.arm(net::now() + kSweepEvery);
+    log_.write(Log::Level::info, net::now(), "serving: %s at %s, %zu providers known", config_.name.c_str(),
+               config_.listen.c_str(), config_.known.update.entries.size());
+    return true;
+}
+
+void Ingress::stop() {
+    if (stopping_) return;
+    stopping_ = true;
+    stopped_at_ = net::now();
+    sweep_timer_.arm(stopped_at_ + kStopSweepEvery);
+    log_.write(Log::Level::info, stopped_at_, "stopping: %zu invocations open", open_.size());
+}
+
+void Ingress::sweep() {
+    const double now = net::now();
+    server_.sweep(now);
+    pool_.sweep(now);
+    if (stopping_ && now - stopped_at_ > kStillComing) {
+        server_.end_idle(now, kQuiet);
+        if (server_.sessions() == 0 && now - server_.last_taken() > kQuiet) {
+            server_.stop();
+            log_.write(Log::Level::info, now, "stopped");
+            return done_();
+        }
+    }
+    sweep_timer_.arm(now + (stopping_ ? kStopSweepEvery : kSweepEvery));
+}
+
+// Facts. ----------------------------------------------------------------------------------------------
+
+std::uint64_t Ingress::on_invocation(consumer::Session& session,
+                                     std::shared_ptr<consumer::Invocation> invocation) {
+    if (config_.max_open > 0 && open_.size() >= config_.max_open) {
+        session.answer({503, config_.settings.max_retry_after_s, {}, {}});
+        return 0;
+    }
+    const std::uint64_t number = ++numbers_;
+    Open& open = open_[number];
+    open.number = number;
+    open.id = std::to_string(number);
+    open.invocation = std::move(invocation);
+    open.session = std::static_pointer_cast<consumer::Session>(session.shared_from_this());
+    const consumer::Invocation& i = *open.invocation;
+    marbleplank::Request request;
+    request.id = open.id;
+    request.service_class = i.service_class;
+    request.plan = i.plan;
+    request.units = i.units;
+    request.customer = i.customer;
+    request.due_s = i.due;
+    request.doors = i.doors;
+    request.repeat = i.repeat;
+    tell(std::move(request));
+    return number;
+}
+
+void Ingress::on_left(std::uint64_t number) {
+    const auto at = open_.find(number);
+    if (at == open_.end() || !at->second.session) return;
+    at->second.session.reset();
+    const std::string id = at->second.id;
+    forget_if_over(number);
+    tell(marbleplank::ClientGone{id});
+}
+
+void Ingress::on_bad_request(int status, const char* why) {
+    log_.write(Log::Level::warning, net::now(), "bad request: %d, %s", status, why);
+}
+
+void Ingress::on_closed(consumer::Session& session) { server_.forget(session); }
+
+void Ingress::on_call_end(const provider::CallTag& tag, const provider::CallEnd& end) {
+    const auto at = open_.find(tag.invocation);
+    if (at == open_.end()) return;
+    Open& open = at->second;
+    open.calls[static_cast<std::size_t>(tag.attempt)].reset();
+    --open.out;
+    if (end.outcome == Outcome::ok && open.session) answer(open, {200, 0, end.content_type, end.body});
+    marbleplank::AttemptEnd event;
+    event.id = open.id;
+    event.attempt = tag.attempt;
+    event.outcome = end.outcome;
+    event.took_s = end.took_s;
+    event.ended = !open.session;
+    event.quota_use = end.quota_use;
+    event.report = end.report;
+    forget_if_over(tag.invocation);
+    tell(std::move(event));
+}
+
+void Ingress::on_probe_end(const std::string& provider, const provider::CallEnd& end) {
+    tell(marbleplank::ProbeEnd{provider, end.outcome, end.took_s, end.report});
+}
+
+void Ingress::on_listing(directory::Listing& listing) {
+    // The pool first: it ends dials to providers that are leaving, before the module sends anything more.
+    pool_.update(listing);
+    tell(std::move(listing.update));
+}
+
+void Ingress::on_lost(const char* why) {
+    log_.write(Log::Level::warning, net::now(), "directory: %s", why);
+    tell(marbleplank::ListUpdate{marbleplank::ListKind::lost, {}});
+}
+
+void Ingress::timers_due() {
+    const double now = net::now();
+    while (!due_.empty() && due_.top().due <= now) {
+        const std::uint64_t tag = due_.top().tag;
+        due_.pop();
+        tell(marbleplank::TimerDue{tag});
+    }
+    if (!due_.empty()) module_timer_.arm(due_.top().due);
+}
+
+// The module. -----------------------------------------------------------------------------------------
+
+// Carrying out an action may bring the next event at once, such as a dial that fails: it waits its turn, as
+// the module is told one event at a time and its actions keep their order.
+void Ingress::tell(marbleplank::Event event) {
+    events_.push_back(std::move(event));
+    if (telling_) return;
+    telling_ = true;
+    while (!events_.empty()) {
+        const marbleplank::Event next = std::move(events_.front());
+        events_.pop_front();
+        actions_.clear();
+        gateway_.handle(net::now(), next, actions_);
+        for (const marbleplank::Action& action : actions_) carry_out(action);
+    }
+    telling_ = false;
+}
+
+void Ingress::carry_out(const marbleplank::Action& action) {
+    std::visit([this](const auto& one) { carry_out(one); }, action);
+}
+
+Ingress::Open* Ingress::find(const std::string& id) {
+    std::uint64_t number = 0;
+    std::from_chars(id.data(), id.data() + id.size(), number);
+    const auto at = open_.find(number);
+    return at == open_.end() ? nullptr : &at->second;
+}
+
+void Ingress::carry_out(const marbleplank::Send& send) {
+    Open* open = find(send.id);
+    if (!open) return;
+    const provider::CallTag tag{open->number, static_cast<std::int64_t>(open->calls.size())};
+    const double now = net::now();
+    const double due = open->invocation->due;
+    const double until = send.allow_s > 0 ? std::min(due, now + send.allow_s) : due;
+    open->calls.emplace_back();
+    ++open->out;
+    const auto call = pool_.call(send.server, tag, open->invocation, until);
+    if (call) open->calls[static_cast<std::size_t>(tag.attempt)] = call;
+}
+
+void Ingress::carry_out(const marbleplank::CallOff& call_off) {
+    Open* open = find(call_off.id);
+    if (!open || call_off.attempt < 0 || static_cast<std::size_t>(call_off.attempt) >= open->calls.size())
+        return;
+    const auto call = open->calls[static_cast<std::size_t>(call_off.attempt)];
+    if (call) call->abandon(Outcome::cancelled);
+}
+
+void Ingress::carry_out(const marbleplank::Refuse& refuse) {
+    Open* open = find(refuse.id);
+    if (open && open->session) answer(*open, {503, refuse.retry_after_s, {}, {}});
+    if (open) forget_if_over(open->number);
+}
+
+void Ingress::carry_out(const marbleplank::Abort& abort) {
+    Open* open = find(abort.id);
+    if (!open) return;
+    const bool late = open->invocation->due - net::now() < kNearDue;
+    if (open->session) answer(*open, {late ? 504 : 502, 0, {}, {}});
+    forget_if_over(open->number);
+}
+
+void Ingress::carry_out(const marbleplank::SetTimer& timer) {
+    due_.push({timer.due_s, timer.tag});
+    if (due_.top().due >= timer.due_s) module_timer_.arm(timer.due_s);
+}
+
+void Ingress::carry_out(const marbleplank::Probe& probe) {
+    pool_.probe(probe.server, config_.settings.report_fields.empty() ? "/health/live" : "/stats");
+}
+
+void Ingress::carry_out(const marbleplank::Listen& listen) {
+    if (listen.on) watch_->ask_soon();
+}
+
+void Ingress::carry_out(const marbleplank::Note& note) {
+    log_.write(Log::Level::info, net::now(), "module: %s", note.text.c_str());
+}
+
+void Ingress::answer(Open& open, const consumer::Answer& answer) {
+    const auto session = std::move(open.session);
+    open.session.reset();
+    session->answer(answer);
+}
+
+void Ingress::forget_if_over(std::uint64_t number) {
+    const auto at = open_.find(number);
+    if (at != open_.end() && !at->second.session && at->second.out == 0) open_.erase(at);
+}
+
+}   // namespace slatejunction::ingress
--- /dev/null
+++ b/src/ingress/ingress.hpp
@@ -0,0 +1,91 @@
+// The program's middle: owns the Gateway, turns what protocols tell into its events and carries out its
+// actions. It takes no decision of its own.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <queue>
+#include <unordered_map>
+#include <vector>
+
+#include "config/config.hpp"
+#include "consumer/server.hpp"
+#include "directory/watch.hpp"
+#include "log/log.hpp"
+#include "marbleplank/gateway.hpp"
+#include "provider/pool.hpp"
+
+namespace slatejunction::ingress {
+
+class Ingress final : consumer::SessionHost, provider::CallHost, directory::WatchHost {
+  public:
+    Ingress(config::Config config, const directory::UnixClock& clock, Log& log, std::function<void()> done);
+    ~Ingress();
+    bool start(std::string& why);
+    void stop();   // finishes what was taken, then calls `done`
+
+  private:
+    // An invocation from its arrival until the last of its calls has come back.
+    struct Open {
+        std::uint64_t number = 0;
+        std::string id;   // the module's name for it: short, and unlike the consumer's never repeated
+        std::shared_ptr<consumer::Invocation> invocation;
+        std::shared_ptr<consumer::Session> session;                 // empty once it is answered
+        std::vector<std::shared_ptr<provider::Connection>> calls;   // by attempt; empty once ended
+        int out = 0;
+    };
+    struct DueTimer {
+        double due;
+        std::uint64_t tag;
+        bool operator>(const DueTimer& other) const { return due > other.due; }
+    };
+    struct WatchLink;
+
+    std::uint64_t on_invocation(consumer::Session& session,
+                                std::shared_ptr<consumer::Invocation> invocation) override;
+    void on_left(std::uint64_t number) override;
+    bool ready() const override { return !stopping_; }
+    bool stopping() const override { return stopping_; }
+    void on_bad_request(int status, const char* why) override;
+    void on_closed(consumer::Session& session) override;
+    void on_call_end(const provider::CallTag& tag, const provider::CallEnd& end) override;
+    void on_probe_end(const std::string& provider, const provider::CallEnd& end) override;
+    void on_listing(directory::Listing& listing) override;
+    void on_lost(const char* why) override;
+
+    void tell(marbleplank::Event event);   // to the module, after what is being carried out
+    void carry_out(const marbleplank::Action& action);
+    void carry_out(const marbleplank::Send& send);
+    void carry_out(const marbleplank::CallOff& call_off);
+    void carry_out(const marbleplank::Refuse& refuse);
+    void carry_out(const marbleplank::Abort& abort);
+    void carry_out(const marbleplank::SetTimer& timer);
+    void carry_out(const marbleplank::Probe& probe);
+    void carry_out(const marbleplank::Listen& listen);
+    void carry_out(const marbleplank::Note& note);
+    Open* find(const std::string& id);
+    void answer(Open& open, const consumer::Answer& answer);
+    void forget_if_over(std::uint64_t number);
+    void timers_due();
+    void sweep();
+
+    Log& log_;
+    std::function<void()> done_;
+    const config::Config config_;
+    net::Timers timers_;
+    net::Timer module_timer_, sweep_timer_;
+    marbleplank::Gateway gateway_;
+    std::deque<marbleplank::Event> events_;
+    std::vector<marbleplank::Action> actions_;
+    bool telling_ = false;
+    std::priority_queue<DueTimer, std::vector<DueTimer>, std::greater<>> due_;
+    std::unordered_map<std::uint64_t, Open> open_;
+    std::uint64_t numbers_ = 0;
+    provider::Pool pool_;
+    consumer::Server server_;
+    std::shared_ptr<WatchLink> watch_;
+    bool stopping_ = false;
+    double stopped_at_ = 0;
+};
+
+}   // namespace slatejunction::ingress
--- /dev/null
+++ b/src/net/listener.cpp
@@ -0,0 +1,68 @@
+#include "net/listener.hpp"
+
+#include "net/stream.hpp"
+
+namespace slatejunction::net {
+namespace {
+constexpr int kBacklog = 512;
+constexpr double kPause = 0.05;   // s; before accepting again after a failure, such as no descriptors left
+}   // namespace
+
+Listener::Listener(Timers& timers, std::function<bool()> room, std::function<void(Ref<GSocket>)> taken)
+    : again_(timers, [this] { watch(); }), room_(std::move(room)), taken_(std::move(taken)) {}
+
+bool Listener::start(const std::string& address, std::string& why) {
+    const Address at = parse_address(address);
+    if (!at) return why = "no address", false;
+    Error error;
+    socket_ = make_socket(at.get(), error);
+    GError* fault = nullptr;
+    if (socket_) g_socket_set_listen_backlog(socket_.get(), kBacklog);
+    if (socket_ && g_socket_bind(socket_.get(), at.get(), TRUE, &fault) &&
+        g_socket_listen(socket_.get(), &fault)) {
+        watch();
+        return true;
+    }
+    if (fault) error.reset(fault);
+    why = error ? error->message : "unknown";
+    return false;
+}
+
+void Listener::stop() {
+    again_.disarm();
+    source_.reset();
+    if (socket_) g_socket_close(socket_.get(), nullptr);
+    socket_.reset();
+}
+
+void Listener::poke() {
+    if (socket_ && !source_ && room_()) watch();
+}
+
+void Listener::watch() {
+    again_.disarm();
+    source_.reset(g_socket_create_source(socket_.get(), G_IO_IN, nullptr));
+    g_source_set_callback(source_.get(), G_SOURCE_FUNC(&Listener::on_in), this, nullptr);
+    g_source_attach(source_.get(), nullptr);
+}
+
+gboolean Listener::on_in(GSocket*, GIOCondition, gpointer self) {
+    auto& listener = *static_cast<Listener*>(self);
+    if (!listener.room_()) {   // the backlog waits; poke() goes on
+        listener.source_.reset();
+        return G_SOURCE_REMOVE;
+    }
+    GError* fault = nullptr;
+    Ref<GSocket> taken(g_socket_accept(listener.socket_.get(), nullptr, &fault));
+    const Error error(fault);
+    if (taken) {
+        listener.taken_(std::move(taken));
+    } else if (!g_error_matches(fault, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
+        // Guards against a spin: with no descriptors left the listener stays readable.
+        listener.source_.reset();
+        listener.again_.arm(now() + kPause);
+    }
+    return G_SOURCE_CONTINUE;
+}
+
+}   // namespace slatejunction::net
--- /dev/null
+++ b/src/net/listener.hpp
@@ -0,0 +1,31 @@
+// Accepts connections at one address.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "net/glib.hpp"
+#include "net/timers.hpp"
+
+namespace slatejunction::net {
+
+class Listener {
+  public:
+    // `taken` gets each connection; `room` tells whether another may be taken, else accepting pauses.
+    Listener(Timers& timers, std::function<bool()> room, std::function<void(Ref<GSocket>)> taken);
+    bool start(const std::string& address, std::string& why);
+    void stop();
+    void poke();   // there may be room again
+    bool paused() const { return !source_; }
+
+  private:
+    static gboolean on_in(GSocket*, GIOCondition, gpointer self);
+    void watch();
+    Timer again_;
+    std::function<bool()> room_;
+    std::function<void(Ref<GSocket>)> taken_;
+    Ref<GSocket> socket_;
+    Source source_;
+};
+
+}   // namespace slatejunction::net
--- /dev/null
+++ b/src/net/stream.cpp
@@ -0,0 +1,173 @@
+#include "net/stream.hpp"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace slatejunction::net {
+
+Address parse_address(std::string_view text) {
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos) return nullptr;
+    unsigned port = 0;
+    const auto [end, fault] = std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+    if (fault != std::errc() || end != text.data() + text.size() || port == 0 || port > 65535)
+        return nullptr;
+    const std::string host(text.substr(0, colon));
+    return Address(g_inet_socket_address_new_from_string(host.c_str(), port));
+}
+
+namespace {
+void prepare(GSocket* socket) {
+    g_socket_set_blocking(socket, FALSE);
+    g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+}
+}   // namespace
+
+Ref<GSocket> make_socket(GSocketAddress* address, Error& error) {
+    GError* fault = nullptr;
+    Ref<GSocket> socket(g_socket_new(g_socket_address_get_family(address), G_SOCKET_TYPE_STREAM,
+                                     G_SOCKET_PROTOCOL_TCP, &fault));
+    error.reset(fault);
+    if (socket) prepare(socket.get());
+    return socket;
+}
+
+void Stream::adopt(Ref<GSocket> socket) {
+    socket_ = std::move(socket);
+    prepare(socket_.get());
+    watch(in_, G_IO_IN, &Stream::on_in);
+}
+
+bool Stream::dial(GSocketAddress* address) {
+    Error error;
+    socket_ = make_socket(address, error);
+    if (!socket_) return false;
+    GError* fault = nullptr;
+    const bool up = g_socket_connect(socket_.get(), address, nullptr, &fault);
+    error.reset(fault);
+    if (!up && !g_error_matches(fault, G_IO_ERROR, G_IO_ERROR_PENDING)) {
+        close();
+        return false;
+    }
+    dialling_ = true;
+    watch(out_, G_IO_OUT, &Stream::on_out);
+    return true;
+}
+
+bool Stream::readable() const {
+    return socket_ && (g_socket_condition_check(socket_.get(), G_IO_IN) & (G_IO_IN | G_IO_HUP | G_IO_ERR));
+}
+
+void Stream::watch(Source& source, GIOCondition condition, GSocketSourceFunc call) {
+    source.reset(g_socket_create_source(socket_.get(), condition, nullptr));
+    g_source_set_callback(source.get(), G_SOURCE_FUNC(call), this, nullptr);
+    g_source_attach(source.get(), nullptr);
+}
+
+void Stream::resume() {
+    if (socket_ && !in_ && !dialling_) watch(in_, G_IO_IN, &Stream::on_in);
+}
+
+void Stream::end(bool clean) {
+    close();
+    protocol_.on_end(clean);
+}
+
+void Stream::finish() {
+    if (socket_) g_socket_shutdown(socket_.get(), FALSE, TRUE, nullptr);
+    resume();
+}
+
+void Stream::close() {
+    in_.reset();
+    out_.reset();
+    if (socket_) g_socket_close(socket_.get(), nullptr);
+    socket_.reset();   // kept_ stays: unsent() tells afterwards whether all had been written
+    dialling_ = false;
+}
+
+// One read a wake-up: a second one would mostly bring "would block", which GIO reports by allocating.
+gboolean Stream::on_in(GSocket*, GIOCondition, gpointer self) {
+    auto& stream = *static_cast<Stream*>(self);
+    const auto keep = stream.protocol_.shared_from_this();
+    const std::span<char> space = stream.protocol_.space();
+    if (space.empty()) {   // until resume(): a level-triggered source would spin
+        stream.in_.reset();
+        return G_SOURCE_REMOVE;
+    }
+    GError* fault = nullptr;
+    const gssize got = g_socket_receive(stream.socket_.get(), space.data(), space.size(), nullptr, &fault);
+    const Error error(fault);
+    if (got > 0) {
+        stream.protocol_.on_bytes(static_cast<std::size_t>(got));
+    } else if (got == 0) {
+        stream.end(true);
+    } else if (!g_error_matches(fault, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
+        stream.end(false);
+    }
+    return G_SOURCE_CONTINUE;
+}
+
+gboolean Stream::on_out(GSocket*, GIOCondition, gpointer self) {
+    auto& stream = *static_cast<Stream*>(self);
+    const auto keep = stream.protocol_.shared_from_this();
+    if (stream.dialling_) {
+        GError* fault = nullptr;
+        const bool up = g_socket_check_connect_result(stream.socket_.get(), &fault);
+        const Error error(fault);
+        if (!up) {
+            stream.end(false);
+            return G_SOURCE_REMOVE;
+        }
+        stream.dialling_ = false;
+        stream.out_.reset();
+        stream.watch(stream.in_, G_IO_IN, &Stream::on_in);
+        stream.protocol_.on_open();
+        return G_SOURCE_REMOVE;
+    }
+    const std::string_view rest = std::string_view(stream.kept_).substr(stream.kept_from_);
+    std::size_t written = 0;
+    if (!stream.write({&rest, 1}, written)) {
+        stream.end(false);
+        return G_SOURCE_REMOVE;
+    }
+    stream.kept_from_ += written;
+    if (stream.kept_from_ < stream.kept_.size()) return G_SOURCE_CONTINUE;
+    stream.kept_.clear();
+    stream.kept_from_ = 0;
+    stream.out_.reset();
+    stream.protocol_.on_sent();
+    return G_SOURCE_REMOVE;
+}
+
+// GIO asks the kernel not to raise SIGPIPE, so a peer that is gone is an ordinary error here.
+bool Stream::write(std::span<const std::string_view> parts, std::size_t& written) {
+    std::array<GOutputVector, 24> vectors;
+    const std::size_t count = std::min(parts.size(), vectors.size());
+    for (std::size_t i = 0; i < count; ++i) vectors[i] = {parts[i].data(), parts[i].size()};
+    GError* fault = nullptr;
+    const gssize sent = g_socket_send_message(socket_.get(), nullptr, vectors.data(),
+                                              static_cast<gint>(count), nullptr, 0, 0, nullptr, &fault);
+    const Error error(fault);
+    written = sent > 0 ? static_cast<std::size_t>(sent) : 0;
+    return sent >= 0 || g_error_matches(fault, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+}
+
+bool Stream::send(std::span<const std::string_view> parts) {
+    if (!socket_) return false;
+    std::size_t written = 0;
+    if (kept_.empty() && !write(parts, written)) return false;
+    for (const std::string_view part : parts) {
+        const std::size_t skip = std::min(written, part.size());
+        written -= skip;
+        kept_.append(part.substr(skip));
+    }
+    if (!kept_.empty() && !out_) watch(out_, G_IO_OUT, &Stream::on_out);
+    return true;
+}
+
+}   // namespace slatejunction::net
--- /dev/null
+++ b/src/net/stream.hpp
@@ -0,0 +1,69 @@
+// The thin driver between a protocol and a socket: it reads, writes and tells; it understands nothing.
+#pragma once
+
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "net/glib.hpp"
+
+namespace slatejunction::net {
+
+// What a protocol may do to its connection, whatever carries it.
+class Transport {
+  public:
+    virtual ~Transport() = default;
+    // Takes all of the parts: what the connection has no room for is kept. False: the connection broke.
+    virtual bool send(std::span<const std::string_view> parts) = 0;
+    virtual bool unsent() const = 0;   // is anything of it kept still?
+    virtual void resume() = 0;         // reads again after space() was empty
+    virtual void finish() = 0;         // ends its own sending; the peer may still send
+    virtual void close() = 0;          // no callback comes after it
+};
+
+// A protocol as a state machine that is fed bytes.
+class Protocol : public std::enable_shared_from_this<Protocol> {
+  public:
+    virtual ~Protocol() = default;
+    virtual void on_open() {}              // a dialled connection is up
+    virtual std::span<char> space() = 0;   // where the next bytes go; empty: not now
+    virtual void on_bytes(std::size_t size) = 0;
+    virtual void on_sent() {}              // all that was kept has been written
+    virtual void on_end(bool clean) = 0;   // the peer ended it, or (not clean) it broke or never came up
+};
+
+class Stream final : public Transport {
+  public:
+    explicit Stream(Protocol& protocol) : protocol_(protocol) {}
+    Stream(const Stream&) = delete;
+    Stream& operator=(const Stream&) = delete;
+
+    void adopt(Ref<GSocket> socket);      // an accepted connection
+    bool dial(GSocketAddress* address);   // on_open or on_end follows; false: it failed at once
+    bool open() const { return socket_ != nullptr; }
+    bool readable() const;   // something has come, be it the end
+    void resume() override;
+    bool send(std::span<const std::string_view> parts) override;
+    bool unsent() const override { return !kept_.empty(); }
+    void finish() override;
+    void close() override;
+
+  private:
+    static gboolean on_in(GSocket*, GIOCondition, gpointer self);
+    static gboolean on_out(GSocket*, GIOCondition, gpointer self);
+    void watch(Source& source, GIOCondition condition, GSocketSourceFunc call);
+    bool write(std::span<const std::string_view> parts, std::size_t& written);
+    void end(bool clean);
+
+    Protocol& protocol_;
+    Ref<GSocket> socket_;
+    Source in_, out_;
+    std::string kept_;
+    std::size_t kept_from_ = 0;
+    bool dialling_ = false;
+};
+
+Address parse_address(std::string_view text);   // "127.0.0.1:8081"; empty when it is none
+Ref<GSocket> make_socket(GSocketAddress* address, Error& error);
+
+}   // namespace slatejunction::net
--- /dev/null
+++ b/src/provider/connection.cpp
@@ -0,0 +1,185 @@
+#include "provider/connection.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+namespace slatejunction::provider {
+
+using marbleplank::Outcome;
+
+Connection::Connection(ConnectionHost& host, net::Timers& timers, std::string provider,
+                       std::string host_port, const std::vector<std::string>& report_fields)
+    : host_(host),
+      timer_(timers, [this] { overdue(); }),
+      provider_(std::move(provider)),
+      host_port_(std::move(host_port)),
+      report_fields_(report_fields),
+      parser_(http::Parser::Kind::response) {}
+
+void Connection::begin(CallTag tag, std::shared_ptr<consumer::Invocation> invocation,
+                       std::string_view probe_path, double until, double dial_until) {
+    tag_ = tag;
+    invocation_ = std::move(invocation);
+    probe_path_ = probe_path;
+    began_ = net::now();
+    until_ = until;
+    calling_ = true;
+    written_ = false;
+    dialling_ = dial_until > 0;
+    timer_.arm(dialling_ ? std::min(until, dial_until) : until);
+}
+
+void Connection::on_open() {
+    dialling_ = false;
+    timer_.arm(until_);
+    write_call();
+}
+
+void Connection::write_call() {
+    char wait[32], length[48];
+    const auto text = [](char* at, std::size_t room, const char* format, auto value) {
+        return std::string_view(at, static_cast<std::size_t>(std::snprintf(at, room, format, value)));
+    };
+    bool sent = false;
+    if (probing()) {
+        const std::array<std::string_view, 5> parts{"GET ", probe_path_, " HTTP/1.1\r\nHost: ", host_port_,
+                                                    "\r\n\r\n"};
+        sent = transport_->send(parts);
+    } else {
+        const consumer::Invocation& i = *invocation_;
+        const bool typed = !i.content_type.empty();
+        const bool sized = !i.body.empty() || i.method != "GET";
+        const std::array<std::string_view, 15> parts{
+            i.method,
+            " ",
+            i.target,
+            " HTTP/1.1\r\nHost: ",
+            host_port_,
+            "\r\nX-Request-Id: ",
+            i.request_id,
+            "\r\nX-Deadline: ",
+            text(wait, sizeof wait, "%.3f", std::max(0.0, until_ - net::now())),
+            typed ? "\r\nContent-Type: " : "",
+            i.content_type,
+            sized ? "\r\nContent-Length: " : "",
+            sized ? text(length, sizeof length, "%zu", i.body.size()) : std::string_view(),
+            "\r\n\r\n",
+            i.body};
+        sent = transport_->send(parts);
+    }
+    if (!sent) return on_end(false);
+    written_ = true;
+}
+
+void Connection::on_bytes(std::size_t size) {
+    buffer_.commit(size);
+    if (!calling_) return close();   // nothing was asked: what it means can't be told
+    take(parser_.feed(buffer_));
+}
+
+void Connection::take(http::Step step) {
+    if (step == http::Step::more) return;
+    CallEnd end;
+    // Guards against answers that can't be read: an error that may have run, never a crash or a 200.
+    end.outcome = Outcome::error;
+    bool reusable = false;
+    if (step == http::Step::done) {
+        const http::Head& head = parser_.head();
+        read_fields(end);
+        if (head.status == 200) {
+            end.outcome = Outcome::ok;
+            end.body = parser_.body();
+        } else if (head.status == 503 || head.status == 504) {
+            const std::string_view* not_run = head.find("x-not-run");
+            if (not_run && *not_run == "1") end.outcome = Outcome::full;
+        }
+        reusable =
+            head.keep_alive && written_ && !transport_->unsent() && parser_.used() == buffer_.view().size();
+    }
+    end_call(end);
+    if (closed_) return;
+    parser_.reset();
+    buffer_.clear();
+    if (!reusable) return close();
+    free_since_ = net::now();
+    host_.on_free(*this);
+}
+
+void Connection::read_fields(CallEnd& end) const {
+    const http::Head& head = parser_.head();
+    if (const std::string_view* used = head.find("x-ratelimit-used")) {
+        double percent = 0;
+        const auto [at, fault] = std::from_chars(used->data(), used->data() + used->size(), percent);
+        if (fault == std::errc() && at == used->data() + used->size() && percent >= 0)
+            end.quota_use = 1 + percent;   // the module's figure: 0 means none
+    }
+    if (const std::string_view* type = head.find("content-type")) end.content_type = *type;
+    const std::string_view* load = head.find("x-load");
+    std::string_view row = load ? *load : probing() ? parser_.body() : std::string_view();
+    if (row.empty() || report_fields_.empty()) return;
+    if (row.starts_with("X-Load:")) row.remove_prefix(7);
+    end.report.assign(report_fields_.size(), 0);
+    bool any = false;
+    while (!row.empty()) {
+        const std::size_t comma = std::min(row.find(','), row.size());
+        std::string_view pair = row.substr(0, comma);
+        row.remove_prefix(std::min(comma + 1, row.size()));
+        while (pair.starts_with(' ')) pair.remove_prefix(1);
+        const std::size_t mark = pair.find('=');
+        if (mark == std::string_view::npos) continue;
+        const auto field = std::find(report_fields_.begin(), report_fields_.end(), pair.substr(0, mark));
+        if (field == report_fields_.end()) continue;
+        double& value = end.report[static_cast<std::size_t>(field - report_fields_.begin())];
+        std::from_chars(pair.data() + mark + 1, pair.data() + pair.size(), value);
+        any = true;
+    }
+    if (!any) end.report.clear();
+}
+
+void Connection::end_call(CallEnd& end) {
+    if (!std::exchange(calling_, false)) return;
+    timer_.disarm();
+    end.took_s = net::now() - began_;
+    host_.on_call_end(*this, end);
+    invocation_.reset();
+}
+
+void Connection::abandon(Outcome outcome) {
+    const auto keep = shared_from_this();
+    // What was not written whole can't have run, whoever stopped waiting.
+    CallEnd end;
+    end.outcome = may_have_run() ? outcome : Outcome::connect_failed;
+    close();   // before the outcome is told: no second copy while this one is out
+    end_call(end);
+}
+
+void Connection::overdue() { abandon(Outcome::timeout); }
+
+void Connection::on_end(bool) {
+    const auto keep = shared_from_this();
+    if (calling_ && written_) {   // an answer may end with its connection
+        const http::Step step = parser_.feed(buffer_, true);
+        if (step == http::Step::done) {
+            take(step);
+            if (!closed_) close();
+            return;
+        }
+    }
+    CallEnd end;
+    end.outcome = may_have_run() ? Outcome::reset : Outcome::connect_failed;
+    close();
+    end_call(end);
+}
+
+void Connection::close() {
+    if (std::exchange(closed_, true)) return;
+    const auto keep = shared_from_this();
+    timer_.disarm();
+    transport_->close();
+    host_.on_closed(*this);
+}
+
+}   // namespace slatejunction::provider
--- /dev/null
+++ b/src/provider/connection.hpp
@@ -0,0 +1,87 @@
+// One connection to a provider and the invoker call it carries: a state machine fed bytes.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "consumer/invocation.hpp"
+#include "marbleplank/gateway.hpp"
+#include "net/stream.hpp"
+#include "net/timers.hpp"
+
+namespace slatejunction::provider {
+
+// Which call a connection carries. A probe has no invocation.
+struct CallTag {
+    std::uint64_t invocation = 0;   // the program's own number of it
+    std::int64_t attempt = 0;
+};
+
+// What came of a call. The views are valid during the callback only.
+struct CallEnd {
+    marbleplank::Outcome outcome = marbleplank::Outcome::reset;
+    double took_s = 0;
+    double quota_use = 0;   // 1 + percent; 0: none
+    std::vector<double> report;
+    std::string_view content_type, body;
+};
+
+class Connection;
+
+class ConnectionHost {
+  public:
+    virtual ~ConnectionHost() = default;
+    virtual void on_call_end(Connection& connection, const CallEnd& end) = 0;
+    virtual void on_free(Connection& connection) = 0;     // its call is over and it may carry another
+    virtual void on_closed(Connection& connection) = 0;   // may forget the connection
+};
+
+class Connection : public net::Protocol {
+  public:
+    Connection(ConnectionHost& host, net::Timers& timers, std::string provider, std::string host_port,
+               const std::vector<std::string>& report_fields);
+    void attach(net::Transport& transport) { transport_ = &transport; }
+
+    // Takes its call along from the start: it is written once the connection is up, unless it ends before.
+    void begin(CallTag tag, std::shared_ptr<consumer::Invocation> invocation, std::string_view probe_path,
+               double until, double dial_until);
+    void write_call();   // on a connection that is up
+    // Stops waiting: the connection ends, so that a late answer can't be taken for another call's.
+    void abandon(marbleplank::Outcome outcome);
+    void close();
+
+    const std::string& provider() const { return provider_; }
+    const std::string& host_port() const { return host_port_; }
+    const CallTag& tag() const { return tag_; }
+    bool probing() const { return !probe_path_.empty(); }
+    bool dialling() const { return dialling_; }
+    bool calling() const { return calling_; }
+    double free_since() const { return free_since_; }
+
+    void on_open() override;
+    std::span<char> space() override { return parser_.room(buffer_); }
+    void on_bytes(std::size_t size) override;
+    void on_end(bool clean) override;
+
+  private:
+    bool may_have_run() const { return written_ && !transport_->unsent(); }
+    void overdue();
+    void take(http::Step step);
+    void end_call(CallEnd& end);
+    void read_fields(CallEnd& end) const;
+
+    ConnectionHost& host_;
+    net::Transport* transport_ = nullptr;
+    net::Timer timer_;
+    const std::string provider_, host_port_;
+    const std::vector<std::string>& report_fields_;
+    http::Parser parser_;
+    http::Buffer buffer_;
+    CallTag tag_;
+    std::shared_ptr<consumer::Invocation> invocation_;
+    std::string probe_path_;
+    double began_ = 0, until_ = 0, free_since_ = 0;
+    bool dialling_ = false, calling_ = false, written_ = false, closed_ = false;
+};
+
+}   // namespace slatejunction::provider
--- /dev/null
+++ b/src/provider/pool.cpp
@@ -0,0 +1,156 @@
+#include "provider/pool.hpp"
+
+#include <algorithm>
+
+namespace slatejunction::provider {
+
+using marbleplank::ListKind;
+using marbleplank::Outcome;
+using marbleplank::ServerState;
+
+namespace {
+constexpr double kIdlePart = 0.5;    // of the providers' keep-alive: a race with their close loses a call
+constexpr double kProbeTime = 0.5;   // s; a probe that takes longer tells nothing
+}   // namespace
+
+struct Pool::Linked : Connection {
+    template <class... Args>
+    explicit Linked(Args&&... args) : Connection(std::forward<Args>(args)...) {
+        attach(stream);
+    }
+    net::Stream stream{*this};
+};
+
+Pool::Pool(CallHost& host, net::Timers& timers, PoolLimits limits, std::vector<std::string> report_fields)
+    : host_(host), timers_(timers), limits_(limits), report_fields_(std::move(report_fields)) {}
+
+void Pool::update(const directory::Listing& listing) {
+    std::vector<std::string> before;
+    if (listing.update.kind != ListKind::changes)
+        for (const auto& [id, provider] : providers_) before.push_back(id);
+    for (std::size_t i = 0; i < listing.update.entries.size(); ++i) {
+        const marbleplank::ListEntry& entry = listing.update.entries[i];
+        std::erase(before, entry.server);
+        if (entry.state != ServerState::in) {
+            if (const auto at = providers_.find(entry.server); at != providers_.end())
+                stop(at->first, at->second);
+            continue;
+        }
+        Provider& provider = providers_[entry.server];
+        provider.accepting = true;
+        if (provider.host_port == listing.addresses[i]) continue;
+        for (const auto idle = std::move(provider.idle); const auto& connection : idle) connection->close();
+        provider.idle.clear();
+        provider.host_port = listing.addresses[i];
+        provider.address = net::parse_address(provider.host_port);
+    }
+    for (const std::string& id : before) {   // a complete list that does not name it
+        stop(id, providers_.at(id));
+        providers_.erase(id);
+    }
+}
+
+// Guards the rule on drains: once it is told, no idle connection and no dial in flight may bring the
+// provider anything new. What is being written or answered goes on.
+void Pool::stop(const std::string& id, Provider& provider) {
+    provider.accepting = false;
+    for (const auto idle = std::move(provider.idle); const auto& connection : idle) connection->close();
+    provider.idle.clear();
+    std::vector<std::shared_ptr<Connection>> dialling;
+    for (const auto& [key, connection] : connections_)
+        if (connection->dialling() && connection->provider() == id) dialling.push_back(connection);
+    for (const auto& connection : dialling) connection->abandon(Outcome::connect_failed);
+}
+
+std::shared_ptr<Connection> Pool::take_idle(Provider& provider) {
+    while (!provider.idle.empty()) {
+        const std::shared_ptr<Connection> connection = std::move(provider.idle.back());
+        provider.idle.pop_back();
+        // Guards against a connection that its provider has ended meanwhile: a call written to it would
+        // count as one that may have run.
+        if (!connections_.at(connection.get())->stream.readable()) return connection;
+        connection->close();
+    }
+    return nullptr;
+}
+
+bool Pool::make_room() {
+    if (connections_.size() < limits_.connections) return true;
+    Connection* oldest = nullptr;
+    for (const auto& [id, provider] : providers_)
+        if (!provider.idle.empty() &&
+            (!oldest || provider.idle.front()->free_since() < oldest->free_since()))
+            oldest = provider.idle.front().get();
+    if (!oldest) return false;
+    oldest->close();
+    return true;
+}
+
+std::shared_ptr<Connection> Pool::start(const std::string& id, CallTag tag,
+                                        std::shared_ptr<consumer::Invocation> invocation,
+                                        std::string_view probe_path, double until, Outcome& failure) {
+    const auto at = providers_.find(id);
+    failure = Outcome::connect_failed;
+    if (at == providers_.end() || !at->second.accepting) return nullptr;
+    Provider& provider = at->second;
+    if (const auto connection = take_idle(provider)) {
+        connection->begin(tag, std::move(invocation), probe_path, until, 0);
+        connection->write_call();
+        return connection;
+    }
+    // Out of descriptors: that says nothing of the provider, so it is told as never sent.
+    failure = Outcome::moot;
+    if (!make_room()) return nullptr;
+    failure = Outcome::connect_failed;
+    auto linked = std::make_shared<Linked>(*this, timers_, id, provider.host_port, report_fields_);
+    connections_.emplace(linked.get(), linked);
+    linked->begin(tag, std::move(invocation), probe_path, until, net::now() + limits_.dial_timeout_s);
+    if (!linked->stream.dial(provider.address.get())) linked->on_end(false);
+    return linked;
+}
+
+std::shared_ptr<Connection> Pool::call(const std::string& provider, CallTag tag,
+                                       std::shared_ptr<consumer::Invocation> invocation, double until) {
+    CallEnd end;
+    auto connection = start(provider, tag, std::move(invocation), {}, until, end.outcome);
+    if (!connection) host_.on_call_end(tag, end);
+    return connection && connection->calling() ? connection : nullptr;
+}
+
+void Pool::probe(const std::string& provider, std::string_view path) {
+    CallEnd end;
+    if (!start(provider, {}, nullptr, path, net::now() + kProbeTime, end.outcome))
+        host_.on_probe_end(provider, end);
+}
+
+void Pool::sweep(double now) {
+    const double limit = kIdlePart * limits_.keepalive_s;
+    for (auto& [id, provider] : providers_)
+        while (!provider.idle.empty() && now - provider.idle.front()->free_since() > limit) {
+            const auto connection = provider.idle.front();
+            connection->close();
+        }
+}
+
+void Pool::on_call_end(Connection& connection, const CallEnd& end) {
+    if (connection.probing())
+        host_.on_probe_end(connection.provider(), end);
+    else
+        host_.on_call_end(connection.tag(), end);
+}
+
+void Pool::on_free(Connection& connection) {
+    const auto at = providers_.find(connection.provider());
+    const auto linked = connections_.at(&connection);
+    if (at == providers_.end() || !at->second.accepting || at->second.host_port != connection.host_port())
+        return linked->close();
+    at->second.idle.push_back(linked);
+}
+
+void Pool::on_closed(Connection& connection) {
+    if (const auto at = providers_.find(connection.provider()); at != providers_.end())
+        std::erase_if(at->second.idle, [&](const auto& idle) { return idle.get() == &connection; });
+    connections_.erase(&connection);
+}
+
+}   // namespace slatejunction::provider
--- /dev/null
+++ b/src/provider/pool.hpp
@@ -0,0 +1,68 @@
+// Connections to providers: who may be called, where, and over which connection.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "directory/listing.hpp"
+#include "provider/connection.hpp"
+
+namespace slatejunction::provider {
+
+class CallHost {
+  public:
+    virtual ~CallHost() = default;
+    virtual void on_call_end(const CallTag& tag, const CallEnd& end) = 0;
+    virtual void on_probe_end(const std::string& provider, const CallEnd& end) = 0;
+};
+
+struct PoolLimits {
+    std::size_t connections = 256;
+    double dial_timeout_s = 0.25;
+    double keepalive_s = 30;   // the providers' own; connections end well before
+};
+
+class Pool final : public ConnectionHost {
+  public:
+    Pool(CallHost& host, net::Timers& timers, PoolLimits limits, std::vector<std::string> report_fields);
+
+    void update(const directory::Listing& listing);
+    // Starts an invoker call. Empty when it ended at once: on_call_end has told how.
+    std::shared_ptr<Connection> call(const std::string& provider, CallTag tag,
+                                     std::shared_ptr<consumer::Invocation> invocation, double until);
+    void probe(const std::string& provider, std::string_view path);
+    void sweep(double now);   // ends idle connections before their provider does
+    std::size_t connections() const { return connections_.size(); }
+
+    void on_call_end(Connection& connection, const CallEnd& end) override;
+    void on_free(Connection& connection) override;
+    void on_closed(Connection& connection) override;
+
+  private:
+    struct Provider {
+        std::string host_port;
+        net::Address address;
+        bool accepting = false;
+        std::vector<std::shared_ptr<Connection>> idle;   // the most recent last
+    };
+    struct Linked;
+    std::shared_ptr<Connection> start(const std::string& provider, CallTag tag,
+                                      std::shared_ptr<consumer::Invocation> invocation,
+                                      std::string_view probe_path, double until,
+                                      marbleplank::Outcome& failure);
+    std::shared_ptr<Connection> take_idle(Provider& provider);
+    bool make_room();
+    void stop(const std::string& id, Provider& provider);
+
+    CallHost& host_;
+    net::Timers& timers_;
+    const PoolLimits limits_;
+    const std::vector<std::string> report_fields_;
+    std::map<std::string, Provider> providers_;
+    std::unordered_map<Connection*, std::shared_ptr<Linked>> connections_;
+};
+
+}   // namespace slatejunction::provider
