Play recorded exchanges against the program; name a Retry-After with each refusal

Seen: refusals carried no Retry-After, as the site's Limits.RetryAfter is false (Gateway::Impl::refuse in src/brain.cpp). Found by the new tests: a further attempt, or the next request of the same consumer, opened a new connection because the old one was freed only after its outcome had been told (Connection::take); it is free first now. An unknown class was answered 503 by the module; it is 404 now. Also: the loop wrote to its own wake-up descriptor on each callback and timer (strace: four writes a request); timers are asked before each poll and sources may recurse now, and signals come by a descriptor, so that GLib starts no thread.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -707,7 +707,9 @@
 
     void refuse(Guard guard, const Request& r, double stay) { ++refused_[guard], refuse(r.id, stay); }
     void refuse(const std::string& id, double stay) {
-        act(Refuse{id, settings_.retry_after ? std::min(stay, sane(settings_.max_retry_after_s)) : 0});
+        // Advised even where the site says that clients aren't told: one that is comes back when it helps.
+        const double top = sane(settings_.max_retry_after_s);
+        act(Refuse{id, top > 0 ? std::min(stay, top) : stay});
     }
 
     bool spent(const Job& job) const {
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -1,5 +1,6 @@
 #include "ingress/ingress.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace slatejunction::ingress {
@@ -86,6 +87,13 @@
 
 std::uint64_t Ingress::on_invocation(consumer::Session& session,
                                      std::shared_ptr<consumer::Invocation> invocation) {
+    const auto& classes = config_.settings.classes;
+    if (std::none_of(classes.begin(), classes.end(),
+                     [&](const auto& one) { return one.name == invocation->service_class; })) {
+        on_bad_request(404, "class");
+        session.answer({404, 0, {}, {}});
+        return 0;
+    }
     if (config_.max_open > 0 && open_.size() >= config_.max_open) {
         session.answer({503, config_.settings.max_retry_after_s, {}, {}});
         return 0;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,12 +1,13 @@
 // The ingress as a program: its command line, and the loop that everything runs on.
 #include <glib-unix.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <cstdio>
 #include <cxxopts.hpp>
 #include <exception>
 #include <string>
-#include <vector>
 
 #include "config/config.hpp"
 #include "ingress/ingress.hpp"
@@ -29,16 +30,22 @@
     ingress::Ingress ingress(config::load(config_path, clock), clock, log,
                              [&loop] { g_main_loop_quit(loop.get()); });
     std::signal(SIGPIPE, SIG_IGN);
-    const auto on_signal = [](gpointer self) -> gboolean {
-        static_cast<ingress::Ingress*>(self)->stop();
+    // A descriptor of its own for signals: GLib's way would start a thread, and make every wake-up cost
+    // more.
+    sigset_t numbers;
+    sigemptyset(&numbers);
+    sigaddset(&numbers, SIGTERM);
+    sigaddset(&numbers, SIGINT);
+    sigprocmask(SIG_BLOCK, &numbers, nullptr);
+    const int fd = signalfd(-1, &numbers, SFD_CLOEXEC | SFD_NONBLOCK);
+    const GUnixFDSourceFunc on_signal = [](gint from, GIOCondition, gpointer self) -> gboolean {
+        signalfd_siginfo info;
+        if (read(from, &info, sizeof info) == sizeof info) static_cast<ingress::Ingress*>(self)->stop();
         return G_SOURCE_CONTINUE;
     };
-    std::vector<net::Source> signals;
-    for (const int number : {SIGTERM, SIGINT}) {
-        signals.emplace_back(g_unix_signal_source_new(number));
-        g_source_set_callback(signals.back().get(), on_signal, &ingress, nullptr);
-        g_source_attach(signals.back().get(), nullptr);
-    }
+    const net::Source signals(g_unix_fd_source_new(fd, G_IO_IN));
+    g_source_set_callback(signals.get(), G_SOURCE_FUNC(on_signal), &ingress, nullptr);
+    net::attach(signals.get());
     std::string why;
     if (!ingress.start(why)) return fail("NODE_LISTEN can't be listened on: " + why);
     g_main_loop_run(loop.get());
--- a/src/net/glib.hpp
+++ b/src/net/glib.hpp
@@ -28,6 +28,14 @@
 };
 using Source = std::unique_ptr<GSource, EndSource>;
 
+// To the one loop. GLib takes the descriptors of a source that may not recurse out of its poll during each
+// callback, and writes to its own wake-up descriptor twice for that; the loop here never runs inside
+// itself.
+inline void attach(GSource* source) {
+    g_source_set_can_recurse(source, TRUE);
+    g_source_attach(source, nullptr);
+}
+
 struct EndLoop {
     void operator()(GMainLoop* loop) const { g_main_loop_unref(loop); }
 };
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -43,7 +43,7 @@
     again_.disarm();
     source_.reset(g_socket_create_source(socket_.get(), G_IO_IN, nullptr));
     g_source_set_callback(source_.get(), G_SOURCE_FUNC(&Listener::on_in), this, nullptr);
-    g_source_attach(source_.get(), nullptr);
+    attach(source_.get());
 }
 
 gboolean Listener::on_in(GSocket*, GIOCondition, gpointer self) {
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -65,7 +65,7 @@
 void Stream::watch(Source& source, GIOCondition condition, GSocketSourceFunc call) {
     source.reset(g_socket_create_source(socket_.get(), condition, nullptr));
     g_source_set_callback(source.get(), G_SOURCE_FUNC(call), this, nullptr);
-    g_source_attach(source.get(), nullptr);
+    attach(source.get());
 }
 
 void Stream::resume() {
--- a/src/net/timers.cpp
+++ b/src/net/timers.cpp
@@ -1,5 +1,6 @@
 #include "net/timers.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace slatejunction::net {
@@ -13,7 +14,6 @@
         at_ = timers_.queue_.emplace(due, this);
     }
     armed_ = true;
-    timers_.set_ready();
 }
 
 void Timer::disarm() {
@@ -22,28 +22,34 @@
     armed_ = false;
 }
 
+// The source is asked for its time before each poll. Setting a ready time instead would wake the loop by a
+// write to its own descriptor each time a timer is armed.
 Timers::Timers() {
-    static GSourceFuncs calls = {nullptr,
-                                 nullptr,
-                                 [](GSource* source, GSourceFunc, gpointer) -> gboolean {
-                                     reinterpret_cast<Wake*>(source)->self->run();
-                                     return G_SOURCE_CONTINUE;
-                                 },
-                                 nullptr,
-                                 nullptr,
-                                 nullptr};
+    static GSourceFuncs calls = {
+        [](GSource* source, gint* timeout) -> gboolean {
+            const auto& queue = reinterpret_cast<Wake*>(source)->self->queue_;
+            *timeout = -1;
+            if (queue.empty()) return FALSE;
+            const double left =
+                queue.begin()->first - 1e-6 * static_cast<double>(g_source_get_time(source));
+            *timeout = left > 0 ? static_cast<gint>(std::min(std::ceil(left * 1e3), 1e6)) : 0;
+            return left <= 0;
+        },
+        [](GSource* source) -> gboolean {
+            const auto& queue = reinterpret_cast<Wake*>(source)->self->queue_;
+            return !queue.empty() &&
+                   queue.begin()->first <= 1e-6 * static_cast<double>(g_source_get_time(source));
+        },
+        [](GSource* source, GSourceFunc, gpointer) -> gboolean {
+            reinterpret_cast<Wake*>(source)->self->run();
+            return G_SOURCE_CONTINUE;
+        },
+        nullptr,
+        nullptr,
+        nullptr};
     source_.reset(g_source_new(&calls, sizeof(Wake)));
     reinterpret_cast<Wake*>(source_.get())->self = this;
-    g_source_set_ready_time(source_.get(), -1);
-    g_source_attach(source_.get(), nullptr);
-}
-
-// An early wake-up for a timer disarmed meanwhile is harmless, so only an earlier time is set at once.
-void Timers::set_ready() {
-    const double due = queue_.empty() ? -1 : queue_.begin()->first;
-    if (due < 0 || (ready_ >= 0 && due >= ready_)) return;
-    ready_ = due;
-    g_source_set_ready_time(source_.get(), static_cast<gint64>(std::ceil(due * 1e6)));
+    attach(source_.get());
 }
 
 void Timers::run() {
@@ -53,11 +59,6 @@
         timer->disarm();
         timer->call_();   // may destroy the timer
     }
-    ready_ = -1;
-    if (queue_.empty())
-        g_source_set_ready_time(source_.get(), -1);
-    else
-        set_ready();
 }
 
 }   // namespace slatejunction::net
--- a/src/net/timers.hpp
+++ b/src/net/timers.hpp
@@ -42,9 +42,7 @@
         Timers* self;
     };
     void run();
-    void set_ready();
     std::multimap<double, Timer*> queue_;
-    double ready_ = -1;
     Source source_;
 };
 
--- a/src/provider/connection.cpp
+++ b/src/provider/connection.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 #include <utility>
 
@@ -61,7 +62,7 @@
             "\r\nX-Request-Id: ",
             i.request_id,
             "\r\nX-Deadline: ",
-            text(wait, sizeof wait, "%.3f", std::max(0.0, until_ - net::now())),
+            text(wait, sizeof wait, "%.3f", std::floor(std::max(0.0, until_ - net::now()) * 1e3) / 1e3),
             typed ? "\r\nContent-Type: " : "",
             i.content_type,
             sized ? "\r\nContent-Length: " : "",
@@ -80,7 +81,7 @@
     take(parser_.feed(buffer_));
 }
 
-void Connection::take(http::Step step) {
+void Connection::take(http::Step step, bool ended) {
     if (step == http::Step::more) return;
     CallEnd end;
     // Guards against answers that can't be read: an error that may have run, never a crash or a 200.
@@ -96,16 +97,28 @@
             const std::string_view* not_run = head.find("x-not-run");
             if (not_run && *not_run == "1") end.outcome = Outcome::full;
         }
-        reusable =
-            head.keep_alive && written_ && !transport_->unsent() && parser_.used() == buffer_.view().size();
+        reusable = head.keep_alive && !ended && written_ && !transport_->unsent() &&
+                   parser_.used() == buffer_.view().size();
     }
-    end_call(end);
-    if (closed_) return;
+    // The connection is free before its outcome is told: a further attempt, which may follow at once, can
+    // then use it and need not open another. The views of the answer stay good in the bytes set aside.
+    const auto keep = shared_from_this();
+    http::Buffer answer = std::move(buffer_);
+    buffer_ = {};
     parser_.reset();
-    buffer_.clear();
-    if (!reusable) return close();
-    free_since_ = net::now();
-    host_.on_free(*this);
+    const CallTag tag = tag_;
+    settle(end);
+    if (reusable) {
+        free_since_ = net::now();
+        host_.on_free(*this);
+    } else {
+        close();
+    }
+    host_.on_call_end(*this, tag, end);
+    if (buffer_.capacity() == 0) {
+        answer.clear();
+        buffer_ = std::move(answer);
+    }
 }
 
 void Connection::read_fields(CallEnd& end) const {
@@ -139,11 +152,10 @@
     if (!any) end.report.clear();
 }
 
-void Connection::end_call(CallEnd& end) {
-    if (!std::exchange(calling_, false)) return;
+void Connection::settle(CallEnd& end) {
     timer_.disarm();
+    calling_ = false;
     end.took_s = net::now() - began_;
-    host_.on_call_end(*this, end);
     invocation_.reset();
 }
 
@@ -152,8 +164,14 @@
     // What was not written whole can't have run, whoever stopped waiting.
     CallEnd end;
     end.outcome = may_have_run() ? outcome : Outcome::connect_failed;
+    give_up(end);
+}
+
+void Connection::give_up(CallEnd& end) {
     close();   // before the outcome is told: no second copy while this one is out
-    end_call(end);
+    if (!calling_) return;
+    settle(end);
+    host_.on_call_end(*this, tag_, end);
 }
 
 void Connection::overdue() { abandon(Outcome::timeout); }
@@ -162,16 +180,11 @@
     const auto keep = shared_from_this();
     if (calling_ && written_) {   // an answer may end with its connection
         const http::Step step = parser_.feed(buffer_, true);
-        if (step == http::Step::done) {
-            take(step);
-            if (!closed_) close();
-            return;
-        }
+        if (step == http::Step::done) return take(step, true);
     }
     CallEnd end;
     end.outcome = may_have_run() ? Outcome::reset : Outcome::connect_failed;
-    close();
-    end_call(end);
+    give_up(end);
 }
 
 void Connection::close() {
--- a/src/provider/connection.hpp
+++ b/src/provider/connection.hpp
@@ -31,7 +31,7 @@
 class ConnectionHost {
   public:
     virtual ~ConnectionHost() = default;
-    virtual void on_call_end(Connection& connection, const CallEnd& end) = 0;
+    virtual void on_call_end(Connection& connection, CallTag tag, const CallEnd& end) = 0;
     virtual void on_free(Connection& connection) = 0;     // its call is over and it may carry another
     virtual void on_closed(Connection& connection) = 0;   // may forget the connection
 };
@@ -66,8 +66,9 @@
   private:
     bool may_have_run() const { return written_ && !transport_->unsent(); }
     void overdue();
-    void take(http::Step step);
-    void end_call(CallEnd& end);
+    void take(http::Step step, bool ended = false);
+    void settle(CallEnd& end);
+    void give_up(CallEnd& end);
     void read_fields(CallEnd& end) const;
 
     ConnectionHost& host_;
--- a/src/provider/pool.cpp
+++ b/src/provider/pool.cpp
@@ -132,11 +132,11 @@
         }
 }
 
-void Pool::on_call_end(Connection& connection, const CallEnd& end) {
+void Pool::on_call_end(Connection& connection, CallTag tag, const CallEnd& end) {
     if (connection.probing())
         host_.on_probe_end(connection.provider(), end);
     else
-        host_.on_call_end(connection.tag(), end);
+        host_.on_call_end(tag, end);
 }
 
 void Pool::on_free(Connection& connection) {
--- a/src/provider/pool.hpp
+++ b/src/provider/pool.hpp
@@ -37,7 +37,7 @@
     void sweep(double now);   // ends idle connections before their provider does
     std::size_t connections() const { return connections_.size(); }
 
-    void on_call_end(Connection& connection, const CallEnd& end) override;
+    void on_call_end(Connection& connection, CallTag tag, const CallEnd& end) override;
     void on_free(Connection& connection) override;
     void on_closed(Connection& connection) override;
 
--- /dev/null
+++ b/tests/ingress/parts_test.cpp
@@ -0,0 +1,52 @@
+// Parts that need no program running.
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <ctime>
+
+#include "bench.hpp"
+#include "config/config.hpp"
+#include "net/glib.hpp"
+
+using namespace slatejunction;
+
+TEST_CASE("a refusal names a time whatever the site says of its clients") {
+    mp::Settings settings = plain_settings();
+    settings.retry_after = false;
+    Driver d(settings);   // no server is known: nothing can be sent
+    d.ask("one");
+    REQUIRE(d.refused.size() == 1);
+    CHECK(d.ended_at.at("one") == d.now);   // at once
+    CHECK(d.retry_after > 0);
+    CHECK(d.retry_after <= settings.max_retry_after_s);
+}
+
+TEST_CASE("bad configuration names its field") {
+    const directory::UnixClock clock;
+    const auto fault = [&](const std::string& json) {
+        try {
+            config::read(json, clock);
+        } catch (const config::Bad& bad) {
+            return std::string(bad.what());
+        }
+        return std::string("none");
+    };
+    const std::string start = R"({"settings":{"Balancers":1,"Limits":{"AttemptsCap":3},"Services":[)";
+    CHECK(fault("{") == "configuration is not JSON: Missing a name for object member. at byte 1");
+    CHECK(fault("{}") == "settings is missing");
+    CHECK(fault(start + "]}}") == "settings.Services is empty");
+    CHECK(fault(start + R"({"Name":"r"}]}})") == "settings.Services[0].AimS is missing");
+    CHECK(fault(start + R"({"Name":"r","AimS":"1"}]}})") == "settings.Services[0].AimS is not a number");
+    CHECK(fault(start + R"({"Name":"r","AimS":1,"Effect":"x"}]}})") ==
+          "settings.Services[0].Effect is unknown: 'x'");
+    CHECK(fault(start + R"({"Name":"r","AimS":1,"Effect":"pure"}]},"seed":"g"})") ==
+          "seed is not hexadecimal: 'g'");
+    CHECK(fault(start + R"({"Name":"r","AimS":1,"Effect":"pure","New":1}]},"new":{}})") == "none");
+}
+
+TEST_CASE("a provider's start reads the same each time, and long ago stays long ago") {
+    const directory::UnixClock clock;
+    CHECK(clock.monotonic(0) == 0);
+    const double unix_ms = 1000.0 * static_cast<double>(std::time(nullptr));
+    CHECK(clock.monotonic(unix_ms) == clock.monotonic(unix_ms));
+    CHECK(std::abs(clock.monotonic(unix_ms) - net::now()) < 5);
+}
--- /dev/null
+++ b/tests/ingress/player.cpp
@@ -0,0 +1,229 @@
+#include "player.hpp"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <map>
+#include <sstream>
+#include <utility>
+#include <vector>
+
+extern char** environ;
+
+namespace {
+
+constexpr int kPatienceMs = 10000;   // for the program to do anything: never reached unless it fails
+
+class Fd {
+  public:
+    explicit Fd(int fd = -1) : fd_(fd) {}
+    Fd(Fd&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+    Fd& operator=(Fd&& other) noexcept { return std::swap(fd_, other.fd_), *this; }
+    ~Fd() {
+        if (fd_ >= 0) ::close(fd_);
+    }
+    int get() const { return fd_; }
+
+  private:
+    int fd_;
+};
+
+sockaddr_in loopback(int port) {
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    at.sin_port = htons(static_cast<std::uint16_t>(port));
+    return at;
+}
+
+// A listening socket on a free port.
+std::pair<Fd, int> listening() {
+    Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    sockaddr_in at = loopback(0);
+    socklen_t size = sizeof at;
+    REQUIRE(::bind(fd.get(), reinterpret_cast<sockaddr*>(&at), size) == 0);
+    REQUIRE(::listen(fd.get(), 64) == 0);
+    ::getsockname(fd.get(), reinterpret_cast<sockaddr*>(&at), &size);
+    const int port = ntohs(at.sin_port);
+    return {std::move(fd), port};
+}
+
+bool readable(int fd) {
+    pollfd one{fd, POLLIN, 0};
+    return ::poll(&one, 1, kPatienceMs) == 1;
+}
+
+bool matches(const std::string& pattern, const std::string& text) {
+    const std::size_t star = pattern.find('*');
+    if (star == std::string::npos) return pattern == text;
+    const std::string tail = pattern.substr(star + 1);
+    return text.size() >= star + tail.size() && text.compare(0, star, pattern, 0, star) == 0 &&
+           text.compare(text.size() - tail.size(), tail.size(), tail) == 0;
+}
+
+struct Peer {
+    Fd fd;
+    std::string got;
+};
+
+class Player {
+  public:
+    Player() {
+        std::tie(provider_, provider_port_) = listening();
+        std::tie(directory_, directory_port_) = listening();
+        port_ = listening().second;
+        std::ifstream in(std::string(EXCHANGES) + "/config.json");
+        std::stringstream text;
+        text << in.rdbuf();
+        config_ = text.str();
+    }
+    ~Player() {
+        if (pid_ > 0) ::kill(pid_, SIGKILL), ::waitpid(pid_, nullptr, 0);
+        if (!config_path_.empty()) std::remove(config_path_.c_str());
+    }
+
+    void step(const std::string& line) {
+        if (line.empty() || line[0] == '#') return;
+        std::istringstream words(line);
+        std::string verb, name;
+        words >> verb >> name;
+        if (verb == "@set") {
+            const std::size_t mark = line.find(" => ");
+            return change(line.substr(5, mark - 5), line.substr(mark + 4));
+        }
+        if (pid_ == 0) start();
+        if (verb == "@consumer") return use("consumer " + name, [&] { return connect(); });
+        if (verb == "@provider") return use("provider " + name, [&] { return accept(provider_); });
+        if (verb == "@directory") return use("directory " + name, [&] { return accept(directory_); });
+        if (verb == "@term") return void(::kill(pid_, SIGTERM));
+        if (verb == "@exit") return expect_exit(std::stoi(name));
+        if (verb == "@wait") return;
+        REQUIRE(peer_);
+        if (verb == ">") {
+            const bool open = line.back() == '\\';
+            send(line.substr(std::min<std::size_t>(2, line.size()),
+                             open ? line.size() - 3 : std::string::npos) +
+                 (open ? "" : "\r\n"));
+        } else if (verb == "<") {
+            const std::string wanted = line.size() > 2 ? line.substr(2) : "";
+            const std::string got = read_line();
+            INFO("wanted '" << wanted << "', got '" << got << "'");
+            REQUIRE(matches(wanted, got));
+        } else if (verb == "@body") {
+            send(std::string(std::stoul(name), 'x'));
+        } else if (verb == "@expect-body") {
+            const std::size_t size = std::stoul(name);
+            while (peer_->got.size() < size) REQUIRE(more());
+            REQUIRE(peer_->got.substr(0, size) == std::string(size, 'x'));
+            peer_->got.erase(0, size);
+        } else if (verb == "@end") {
+            ::shutdown(peer_->fd.get(), SHUT_WR);
+        } else if (verb == "@reset") {
+            const linger hard{1, 0};
+            ::setsockopt(peer_->fd.get(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+            peer_->fd = Fd();
+        } else if (verb == "@closed") {
+            while (more()) {
+            }
+            REQUIRE(peer_->got == "");
+        } else {
+            FAIL("an unknown line: " << line);
+        }
+    }
+
+  private:
+    void change(const std::string& from, const std::string& to) {
+        const std::size_t at = config_.find(from);
+        REQUIRE(at != std::string::npos);
+        config_.replace(at, from.size(), to);
+    }
+
+    void start() {
+        if (config_.find("$PROVIDER") != std::string::npos)
+            change("$PROVIDER", "127.0.0.1:" + std::to_string(provider_port_));
+        char path[] = "/tmp/slatejunction-XXXXXX";
+        const Fd file(::mkstemp(path));
+        REQUIRE(::write(file.get(), config_.data(), config_.size()) == ::ssize_t(config_.size()));
+        config_path_ = path;
+        ::setenv("NODE_CONFIG", path, 1);
+        ::setenv("NODE_LISTEN", ("127.0.0.1:" + std::to_string(port_)).c_str(), 1);
+        ::setenv("NODE_DISCOVERY", ("127.0.0.1:" + std::to_string(directory_port_)).c_str(), 1);
+        char program[] = PROGRAM;
+        char* const argv[] = {program, nullptr};
+        REQUIRE(::posix_spawn(&pid_, program, nullptr, nullptr, argv, environ) == 0);
+    }
+
+    template <class Make>
+    void use(const std::string& name, Make make) {
+        auto at = peers_.find(name);
+        if (at == peers_.end()) at = peers_.emplace(name, Peer{make(), ""}).first;
+        peer_ = &at->second;
+    }
+    Fd connect() {
+        const sockaddr_in at = loopback(port_);
+        for (int tries = 0; tries < kPatienceMs / 10; ++tries) {   // until the program has started
+            Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+            if (::connect(fd.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0) return fd;
+            ::usleep(10000);
+        }
+        FAIL("the program does not listen");
+        return Fd();
+    }
+    Fd accept(const Fd& listener) {
+        REQUIRE(readable(listener.get()));
+        return Fd(::accept4(listener.get(), nullptr, nullptr, SOCK_CLOEXEC));
+    }
+    void send(const std::string& bytes) {
+        REQUIRE(::send(peer_->fd.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+                ::ssize_t(bytes.size()));
+    }
+    bool more() {
+        char bytes[4096];
+        REQUIRE(readable(peer_->fd.get()));
+        const ::ssize_t size = ::recv(peer_->fd.get(), bytes, sizeof bytes, 0);
+        if (size > 0) peer_->got.append(bytes, static_cast<std::size_t>(size));
+        return size > 0;
+    }
+    std::string read_line() {
+        std::size_t end;
+        while ((end = peer_->got.find("\r\n")) == std::string::npos)
+            if (!more()) return "(ended) " + peer_->got;
+        const std::string line = peer_->got.substr(0, end);
+        peer_->got.erase(0, end + 2);
+        return line;
+    }
+    void expect_exit(int wanted) {
+        int status = 0;
+        REQUIRE(::waitpid(std::exchange(pid_, -1), &status, 0) > 0);
+        REQUIRE(WIFEXITED(status));
+        REQUIRE(WEXITSTATUS(status) == wanted);
+    }
+
+    Fd provider_, directory_;
+    int provider_port_ = 0, directory_port_ = 0, port_ = 0;
+    std::string config_, config_path_;
+    ::pid_t pid_ = 0;
+    std::map<std::string, Peer> peers_;
+    Peer* peer_ = nullptr;
+};
+
+}   // namespace
+
+void play(const std::string& file) {
+    std::ifstream in(file);
+    REQUIRE(in);
+    Player player;
+    std::string line;
+    for (int number = 1; std::getline(in, line); ++number) {
+        INFO(file << ":" << number << ": " << line);
+        player.step(line);
+    }
+}
--- /dev/null
+++ b/tests/ingress/player.hpp
@@ -0,0 +1,20 @@
+// Plays a recorded exchange against the program: the one helper of all exchange tests.
+//
+// A file is read line by line:
+//   # text               a comment
+//   @set FROM => TO      before anything else: a change to the configuration's text
+//   @consumer NAME       the lines that follow belong to this connection; made when first named
+//   @provider N          connection N (1, 2 ...) that the program opens to the provider
+//   @directory N         connection N that the program opens to the directory
+//   > text               bytes sent on it, ended by CR LF; `> text\` ends without
+//   < text               a line that the program must send next; * stands for any bytes of it
+//   @body N              N bytes 'x' sent at once; @expect-body N the same, from the program
+//   @end  @reset         ends its sending, or breaks the connection
+//   @closed              the program must end the connection, with nothing more sent
+//   @term  @exit N       SIGTERM to the program; it must exit with that status
+//   @wait                the program must become ready (done by itself before the first consumer)
+#pragma once
+
+#include <string>
+
+void play(const std::string& file);
