--- a/include/marbleplank/gateway.hpp
+++ b/include/slatejunction/gateway.hpp
@@ -1,4 +1,4 @@
-// marbleplank: the interface of one gateway's decisions.
+// slatejunction: the interface of one gateway's decisions.
 //
 // A Gateway is told what happens (events) and says what to do (actions). It does no I/O, starts no
 // threads, reads no clock and holds no globals: the caller supplies the time, the seed and the events,
@@ -22,7 +22,7 @@
 #include <variant>
 #include <vector>
 
-namespace marbleplank {
+namespace slatejunction {
 
 enum class Effect { pure, token, side_effect };
 enum class Group { all, zone, cell };
@@ -219,4 +219,4 @@
     std::unique_ptr<Impl> impl_;
 };
 
-}   // namespace marbleplank
+}   // namespace slatejunction
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1,4 +1,4 @@
-// All decisions of one gateway. The interface, its events and actions: include/marbleplank/gateway.hpp.
+// All decisions of one gateway. The interface, its events and actions: include/slatejunction/gateway.hpp.
 // Order for a request: pass share draw, ceiling, admitted fraction draw, server (docs/design.md).
 #include <algorithm>
 #include <array>
@@ -10,9 +10,9 @@
 #include <utility>
 #include <vector>
 
-#include "marbleplank/gateway.hpp"
+#include "slatejunction/gateway.hpp"
 
-namespace marbleplank {
+namespace slatejunction {
 namespace {
 
 // Constants: unit, then reason. The same for every deployment; latencies are in parts of a class's aim.
@@ -261,9 +261,10 @@
 
     void sent(Customer& c, double units) { c.own += units; }
 
-    // Passes with chance `share`, by systematic sampling: from a random start the shares add up, and each whole
-    // one passes a try. What passes is then spread evenly, where single draws would come in runs that the store
-    // does not hold. Covers long surplus through several doors; harm: none known, as starts differ.
+    // Passes with chance `share`, by systematic sampling: from a random start the shares add up, and each
+    // whole one passes a try. What passes is then spread evenly, where single draws would come in runs that
+    // the store does not hold. Covers long surplus through several doors; harm: none known, as starts
+    // differ.
     bool draw(Customer& c, double share, Random& random) {
         if (c.phase < 0) c.phase = random.unit();
         c.phase += share;
@@ -676,7 +677,8 @@
         Customer& c = shares_.find(request.customer, now_, *plan, request.doors);
         const double share = shares_.share(c, *plan, units, request.repeat);
         c.ceiling.refill(now_, start_, *plan, c.doors);
-        if (!shares_.draw(c, share, random_)) return refuse(kByShare, request, kSurplusStay * service->aim_s);
+        if (!shares_.draw(c, share, random_))
+            return refuse(kByShare, request, kSurplusStay * service->aim_s);
         if ((plan->ceiling_rate > 0 && !c.ceiling.holds(units)) ||
             (plan->max_out > 0 && c.out >= plan->max_out))
             return refuse(kByCeiling, request, kSurplusStay * service->aim_s);
@@ -947,4 +949,4 @@
 }
 std::size_t Gateway::open() const { return impl_->open(); }
 
-}   // namespace marbleplank
+}   // namespace slatejunction
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -90,9 +90,9 @@
     throw Bad(node.at(name) + " is unknown: '" + word + "'");
 }
 
-marbleplank::ServiceClass read_class(const Node& node) {
-    using marbleplank::Effect, marbleplank::Group;
-    marbleplank::ServiceClass c;
+slatejunction::ServiceClass read_class(const Node& node) {
+    using slatejunction::Effect, slatejunction::Group;
+    slatejunction::ServiceClass c;
     c.name = node.needed_text("Name");
     c.aim_s = node.needed_real("AimS");
     c.deadline_s = node.real("DeadlineS");
@@ -108,8 +108,8 @@
     return c;
 }
 
-marbleplank::Plan read_plan(const Node& node) {
-    marbleplank::Plan p;
+slatejunction::Plan read_plan(const Node& node) {
+    slatejunction::Plan p;
     p.name = node.needed_text("Name");
     p.rate = node.real("UnitsPerS");
     p.burst = node.real("Depth");
@@ -124,7 +124,7 @@
 }
 
 void read_settings(const Node& node, Config& config) {
-    marbleplank::Settings& s = config.settings;
+    slatejunction::Settings& s = config.settings;
     node.need("Services");
     node.each("Services",
               [&](const Json& one, std::string path) { s.classes.push_back(read_class(Node(one, path))); });
@@ -140,10 +140,10 @@
         s.reports_on_probe_only = how == "on_probe";
     }
     s.zone = node.text("Zone");
-    s.discovery = one_of<marbleplank::Discovery>(node, "Discovery",
-                                                 {{"automatic", marbleplank::Discovery::automatic},
-                                                  {"subscribe", marbleplank::Discovery::subscribe}},
-                                                 marbleplank::Discovery::automatic);
+    s.discovery = one_of<slatejunction::Discovery>(node, "Discovery",
+                                                   {{"automatic", slatejunction::Discovery::automatic},
+                                                    {"subscribe", slatejunction::Discovery::subscribe}},
+                                                   slatejunction::Discovery::automatic);
     s.my_number = static_cast<std::int64_t>(node.real("MyNumber"));
     s.balancers = node.needed_real("Balancers");
     s.quantum_s = node.real("QuantumS");
@@ -203,7 +203,7 @@
     int broken = 0;
     if (const Json* known = root.find("known"); known && !read_listing(*known, clock, config.known, broken))
         throw Bad("known is not a list of the directory");
-    config.known.update.kind = marbleplank::ListKind::warm_copy;
+    config.known.update.kind = slatejunction::ListKind::warm_copy;
     return config;
 }
 
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "directory/listing.hpp"
-#include "marbleplank/gateway.hpp"
+#include "slatejunction/gateway.hpp"
 
 namespace slatejunction::config {
 
@@ -23,7 +23,7 @@
     std::size_t max_open = 0;   // invocations; 0: no such limit
     double dial_timeout_s = 0.25;
     double keepalive_s = 30;
-    marbleplank::Settings settings;
+    slatejunction::Settings settings;
     directory::Listing known;
 };
 
--- a/src/directory/listing.cpp
+++ b/src/directory/listing.cpp
@@ -8,8 +8,8 @@
 
 namespace slatejunction::directory {
 
-using marbleplank::ListKind;
-using marbleplank::ServerState;
+using slatejunction::ListKind;
+using slatejunction::ServerState;
 
 UnixClock::UnixClock() {
     const auto unix_now = std::chrono::system_clock::now().time_since_epoch();
@@ -22,7 +22,7 @@
 
 namespace {
 
-bool read_entry(const rapidjson::Value& json, const UnixClock& clock, marbleplank::ListEntry& entry,
+bool read_entry(const rapidjson::Value& json, const UnixClock& clock, slatejunction::ListEntry& entry,
                 std::string& address) {
     if (!json.IsObject()) return false;
     const auto text = [&](const char* name) {
@@ -68,7 +68,7 @@
     listing.update.entries.clear();
     listing.addresses.clear();
     for (const rapidjson::Value& member : members->value.GetArray()) {
-        marbleplank::ListEntry entry;
+        slatejunction::ListEntry entry;
         std::string address;
         if (!read_entry(member, clock, entry, address)) {
             ++broken;
--- a/src/directory/listing.hpp
+++ b/src/directory/listing.hpp
@@ -8,13 +8,13 @@
 #include <string>
 #include <vector>
 
-#include "marbleplank/gateway.hpp"
+#include "slatejunction/gateway.hpp"
 
 namespace slatejunction::directory {
 
 struct Listing {
     std::optional<std::int64_t> revision;
-    marbleplank::ListUpdate update;
+    slatejunction::ListUpdate update;
     std::vector<std::string> addresses;   // host:port, beside update.entries
 };
 
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -5,7 +5,7 @@
 
 namespace slatejunction::ingress {
 
-using marbleplank::Outcome;
+using slatejunction::Outcome;
 
 namespace {
 
@@ -49,7 +49,7 @@
 Ingress::~Ingress() = default;
 
 bool Ingress::start(std::string& why) {
-    tell(marbleplank::Start{});
+    tell(slatejunction::Start{});
     pool_.update(config_.known);
     tell(config_.known.update);
     if (!server_.start(config_.listen, why)) return false;
@@ -105,7 +105,7 @@
     open.invocation = std::move(invocation);
     open.session = std::static_pointer_cast<consumer::Session>(session.shared_from_this());
     const consumer::Invocation& i = *open.invocation;
-    marbleplank::Request request;
+    slatejunction::Request request;
     request.id = open.id;
     request.service_class = i.service_class;
     request.plan = i.plan;
@@ -124,7 +124,7 @@
     at->second.session.reset();
     const std::string id = at->second.id;
     forget_if_over(number);
-    tell(marbleplank::ClientGone{id});
+    tell(slatejunction::ClientGone{id});
 }
 
 void Ingress::on_bad_request(int status, const char* why) {
@@ -140,7 +140,7 @@
     open.calls[static_cast<std::size_t>(tag.attempt)].reset();
     --open.out;
     if (end.outcome == Outcome::ok && open.session) answer(open, {200, 0, end.content_type, end.body});
-    marbleplank::AttemptEnd event;
+    slatejunction::AttemptEnd event;
     event.id = open.id;
     event.attempt = tag.attempt;
     event.outcome = end.outcome;
@@ -153,7 +153,7 @@
 }
 
 void Ingress::on_probe_end(const std::string& provider, const provider::CallEnd& end) {
-    tell(marbleplank::ProbeEnd{provider, end.outcome, end.took_s, end.report});
+    tell(slatejunction::ProbeEnd{provider, end.outcome, end.took_s, end.report});
 }
 
 void Ingress::on_listing(directory::Listing& listing) {
@@ -164,7 +164,7 @@
 
 void Ingress::on_lost(const char* why) {
     log_.write(Log::Level::warning, net::now(), "directory: %s", why);
-    tell(marbleplank::ListUpdate{marbleplank::ListKind::lost, {}});
+    tell(slatejunction::ListUpdate{slatejunction::ListKind::lost, {}});
 }
 
 void Ingress::timers_due() {
@@ -172,7 +172,7 @@
     while (!due_.empty() && due_.top().due <= now) {
         const std::uint64_t tag = due_.top().tag;
         due_.pop();
-        tell(marbleplank::TimerDue{tag});
+        tell(slatejunction::TimerDue{tag});
     }
     if (!due_.empty()) module_timer_.arm(due_.top().due);
 }
@@ -181,21 +181,21 @@
 
 // Carrying out an action may bring the next event at once, such as a dial that fails: it waits its turn, as
 // the module is told one event at a time and its actions keep their order.
-void Ingress::tell(marbleplank::Event event) {
+void Ingress::tell(slatejunction::Event event) {
     events_.push_back(std::move(event));
     if (telling_) return;
     telling_ = true;
     while (!events_.empty()) {
-        const marbleplank::Event next = std::move(events_.front());
+        const slatejunction::Event next = std::move(events_.front());
         events_.pop_front();
         actions_.clear();
         gateway_.handle(net::now(), next, actions_);
-        for (const marbleplank::Action& action : actions_) carry_out(action);
+        for (const slatejunction::Action& action : actions_) carry_out(action);
     }
     telling_ = false;
 }
 
-void Ingress::carry_out(const marbleplank::Action& action) {
+void Ingress::carry_out(const slatejunction::Action& action) {
     std::visit([this](const auto& one) { carry_out(one); }, action);
 }
 
@@ -206,7 +206,7 @@
     return at == open_.end() ? nullptr : &at->second;
 }
 
-void Ingress::carry_out(const marbleplank::Send& send) {
+void Ingress::carry_out(const slatejunction::Send& send) {
     Open* open = find(send.id);
     if (!open) return;
     const provider::CallTag tag{open->number, static_cast<std::int64_t>(open->calls.size())};
@@ -219,7 +219,7 @@
     if (call) open->calls[static_cast<std::size_t>(tag.attempt)] = call;
 }
 
-void Ingress::carry_out(const marbleplank::CallOff& call_off) {
+void Ingress::carry_out(const slatejunction::CallOff& call_off) {
     Open* open = find(call_off.id);
     if (!open || call_off.attempt < 0 || static_cast<std::size_t>(call_off.attempt) >= open->calls.size())
         return;
@@ -227,13 +227,13 @@
     if (call) call->abandon(Outcome::cancelled);
 }
 
-void Ingress::carry_out(const marbleplank::Refuse& refuse) {
+void Ingress::carry_out(const slatejunction::Refuse& refuse) {
     Open* open = find(refuse.id);
     if (open && open->session) answer(*open, {503, refuse.retry_after_s, {}, {}});
     if (open) forget_if_over(open->number);
 }
 
-void Ingress::carry_out(const marbleplank::Abort& abort) {
+void Ingress::carry_out(const slatejunction::Abort& abort) {
     Open* open = find(abort.id);
     if (!open) return;
     const bool late = open->invocation->due - net::now() < kNearDue;
@@ -241,20 +241,20 @@
     forget_if_over(open->number);
 }
 
-void Ingress::carry_out(const marbleplank::SetTimer& timer) {
+void Ingress::carry_out(const slatejunction::SetTimer& timer) {
     due_.push({timer.due_s, timer.tag});
     if (due_.top().due >= timer.due_s) module_timer_.arm(timer.due_s);
 }
 
-void Ingress::carry_out(const marbleplank::Probe& probe) {
+void Ingress::carry_out(const slatejunction::Probe& probe) {
     pool_.probe(probe.server, config_.settings.report_fields.empty() ? "/health/live" : "/stats");
 }
 
-void Ingress::carry_out(const marbleplank::Listen& listen) {
+void Ingress::carry_out(const slatejunction::Listen& listen) {
     if (listen.on) watch_->ask_soon();
 }
 
-void Ingress::carry_out(const marbleplank::Note& note) {
+void Ingress::carry_out(const slatejunction::Note& note) {
     log_.write(Log::Level::info, net::now(), "module: %s", note.text.c_str());
 }
 
--- a/src/ingress/ingress.hpp
+++ b/src/ingress/ingress.hpp
@@ -12,8 +12,8 @@
 #include "consumer/server.hpp"
 #include "directory/watch.hpp"
 #include "log/log.hpp"
-#include "marbleplank/gateway.hpp"
 #include "provider/pool.hpp"
+#include "slatejunction/gateway.hpp"
 
 namespace slatejunction::ingress {
 
@@ -53,16 +53,16 @@
     void on_listing(directory::Listing& listing) override;
     void on_lost(const char* why) override;
 
-    void tell(marbleplank::Event event);   // to the module, after what is being carried out
-    void carry_out(const marbleplank::Action& action);
-    void carry_out(const marbleplank::Send& send);
-    void carry_out(const marbleplank::CallOff& call_off);
-    void carry_out(const marbleplank::Refuse& refuse);
-    void carry_out(const marbleplank::Abort& abort);
-    void carry_out(const marbleplank::SetTimer& timer);
-    void carry_out(const marbleplank::Probe& probe);
-    void carry_out(const marbleplank::Listen& listen);
-    void carry_out(const marbleplank::Note& note);
+    void tell(slatejunction::Event event);   // to the module, after what is being carried out
+    void carry_out(const slatejunction::Action& action);
+    void carry_out(const slatejunction::Send& send);
+    void carry_out(const slatejunction::CallOff& call_off);
+    void carry_out(const slatejunction::Refuse& refuse);
+    void carry_out(const slatejunction::Abort& abort);
+    void carry_out(const slatejunction::SetTimer& timer);
+    void carry_out(const slatejunction::Probe& probe);
+    void carry_out(const slatejunction::Listen& listen);
+    void carry_out(const slatejunction::Note& note);
     Open* find(const std::string& id);
     void answer(Open& open, const consumer::Answer& answer);
     void forget_if_over(std::uint64_t number);
@@ -74,9 +74,9 @@
     const config::Config config_;
     net::Timers timers_;
     net::Timer module_timer_, sweep_timer_;
-    marbleplank::Gateway gateway_;
-    std::deque<marbleplank::Event> events_;
-    std::vector<marbleplank::Action> actions_;
+    slatejunction::Gateway gateway_;
+    std::deque<slatejunction::Event> events_;
+    std::vector<slatejunction::Action> actions_;
     bool telling_ = false;
     std::priority_queue<DueTimer, std::vector<DueTimer>, std::greater<>> due_;
     std::unordered_map<std::uint64_t, Open> open_;
--- a/src/provider/connection.cpp
+++ b/src/provider/connection.cpp
@@ -9,7 +9,7 @@
 
 namespace slatejunction::provider {
 
-using marbleplank::Outcome;
+using slatejunction::Outcome;
 
 Connection::Connection(ConnectionHost& host, net::Timers& timers, std::string provider,
                        std::string host_port, const std::vector<std::string>& report_fields)
--- a/src/provider/connection.hpp
+++ b/src/provider/connection.hpp
@@ -5,9 +5,9 @@
 #include <vector>
 
 #include "consumer/invocation.hpp"
-#include "marbleplank/gateway.hpp"
 #include "net/stream.hpp"
 #include "net/timers.hpp"
+#include "slatejunction/gateway.hpp"
 
 namespace slatejunction::provider {
 
@@ -19,7 +19,7 @@
 
 // What came of a call. The views are valid during the callback only.
 struct CallEnd {
-    marbleplank::Outcome outcome = marbleplank::Outcome::reset;
+    slatejunction::Outcome outcome = slatejunction::Outcome::reset;
     double took_s = 0;
     double quota_use = 0;   // 1 + percent; 0: none
     std::vector<double> report;
@@ -47,7 +47,7 @@
                double until, double dial_until);
     void write_call();   // on a connection that is up
     // Stops waiting: the connection ends, so that a late answer can't be taken for another call's.
-    void abandon(marbleplank::Outcome outcome);
+    void abandon(slatejunction::Outcome outcome);
     void close();
 
     const std::string& provider() const { return provider_; }
--- a/src/provider/pool.cpp
+++ b/src/provider/pool.cpp
@@ -4,9 +4,9 @@
 
 namespace slatejunction::provider {
 
-using marbleplank::ListKind;
-using marbleplank::Outcome;
-using marbleplank::ServerState;
+using slatejunction::ListKind;
+using slatejunction::Outcome;
+using slatejunction::ServerState;
 
 namespace {
 constexpr double kIdlePart = 0.5;    // of the providers' keep-alive: a race with their close loses a call
@@ -29,7 +29,7 @@
     if (listing.update.kind != ListKind::changes)
         for (const auto& [id, provider] : providers_) before.push_back(id);
     for (std::size_t i = 0; i < listing.update.entries.size(); ++i) {
-        const marbleplank::ListEntry& entry = listing.update.entries[i];
+        const slatejunction::ListEntry& entry = listing.update.entries[i];
         std::erase(before, entry.server);
         if (entry.state != ServerState::in) {
             if (const auto at = providers_.find(entry.server); at != providers_.end())
--- a/src/provider/pool.hpp
+++ b/src/provider/pool.hpp
@@ -52,7 +52,7 @@
     std::shared_ptr<Connection> start(const std::string& provider, CallTag tag,
                                       std::shared_ptr<consumer::Invocation> invocation,
                                       std::string_view probe_path, double until,
-                                      marbleplank::Outcome& failure);
+                                      slatejunction::Outcome& failure);
     std::shared_ptr<Connection> take_idle(Provider& provider);
     bool make_room();
     void stop(const std::string& id, Provider& provider);
--- a/src/wirehost.cpp
+++ b/src/wirehost.cpp
@@ -12,9 +12,9 @@
 #include <type_traits>
 #include <vector>
 
-#include "marbleplank/gateway.hpp"
+#include "slatejunction/gateway.hpp"
 
-namespace mp = marbleplank;
+namespace mp = slatejunction;
 
 namespace {
 
--- a/tests/bench.hpp
+++ b/tests/bench.hpp
@@ -8,9 +8,9 @@
 #include <variant>
 #include <vector>
 
-#include "marbleplank/gateway.hpp"
+#include "slatejunction/gateway.hpp"
 
-namespace mp = marbleplank;
+namespace mp = slatejunction;
 
 struct Driver {
     struct Out {
--- a/tests/consumer/consumer.cpp
+++ b/tests/consumer/consumer.cpp
@@ -1,9 +1,9 @@
 // A program of its own that uses the installed library: one request, its outcome and a timer.
 #include <cstdio>
-#include <marbleplank/gateway.hpp>
+#include <slatejunction/gateway.hpp>
 #include <variant>
 
-namespace mp = marbleplank;
+namespace mp = slatejunction;
 
 int main() {
     mp::Settings settings;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -23,7 +23,7 @@
 }
 
 Transcript run(const std::string& input) {
-    char folder[] = "/tmp/marbleplank-XXXXXX";
+    char folder[] = "/tmp/slatejunction-XXXXXX";
     if (!mkdtemp(folder)) return {"", "", -1};
     const std::string at = folder;
     std::ofstream(at + "/in") << input;
