--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -281,7 +281,7 @@
         const double told = (quota_use - 1) / 100;
         const double tries = plan.rate * period_ / std::max(c.typical, 1e-6);   // at the plan's rate
         const double keep = std::exp(-tries / kEvidence);
-        c.store = clamp(c.store + (use(c, plan) - told) * period_, -store_time(plan), store_time(plan));
+        c.store = clamp(c.store + (use(c, plan) - told) * period_, 0.0, store_time(plan));
         c.tries = c.tries * keep + told * tries;
         c.exposure = c.exposure * keep + c.share * tries;
         c.told_tries = c.told_tries * keep + tries;
@@ -316,7 +316,7 @@
         const double gap = now - c.at;
         if (gap <= 0 || plan.rate <= 0) return;
         c.at = now;
-        c.store = clamp(c.store + gap * (1 - use(c, plan)), -store_time(plan), store_time(plan));
+        c.store = clamp(c.store + gap * (1 - use(c, plan)), 0.0, store_time(plan));
         const double fade = std::exp(-gap / kUseFade);
         for (double* count : {&c.tries, &c.exposure, &c.told_tries, &c.asks}) *count *= fade;
         const double unmetered = std::exp(-gap / std::max(kMeterLag * period_, 1e-3));
