--- a/tests/ingress/player.cpp
+++ b/tests/ingress/player.cpp
@@ -105,7 +105,7 @@
         if (verb == "@directory") return use("directory " + name, [&] { return accept(directory_); });
         if (verb == "@term") return void(::kill(pid_, SIGTERM));
         if (verb == "@exit") return expect_exit(std::stoi(name));
-        if (verb == "@wait") return;
+        if (verb == "@deaf") return fill();
         REQUIRE(peer_);
         if (verb == ">") {
             const bool open = line.back() == '\\';
@@ -181,6 +181,15 @@
         REQUIRE(readable(listener.get()));
         return Fd(::accept4(listener.get(), nullptr, nullptr, SOCK_CLOEXEC));
     }
+    // With its backlog full the kernel drops what else comes: a dial sees neither an answer nor a refusal.
+    void fill() {
+        REQUIRE(::listen(provider_.get(), 0) == 0);
+        const sockaddr_in at = loopback(provider_port_);
+        for (int i = 0; i < 4; ++i) {
+            fillers_.emplace_back(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+            ::connect(fillers_.back().get(), reinterpret_cast<const sockaddr*>(&at), sizeof at);
+        }
+    }
     void send(const std::string& bytes) {
         REQUIRE(::send(peer_->fd.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
                 ::ssize_t(bytes.size()));
@@ -208,6 +217,7 @@
     }
 
     Fd provider_, directory_;
+    std::vector<Fd> fillers_;
     int provider_port_ = 0, directory_port_ = 0, port_ = 0;
     std::string config_, config_path_;
     ::pid_t pid_ = 0;
--- a/tests/ingress/player.hpp
+++ b/tests/ingress/player.hpp
@@ -12,7 +12,7 @@
 //   @end  @reset         ends its sending, or breaks the connection
 //   @closed              the program must end the connection, with nothing more sent
 //   @term  @exit N       SIGTERM to the program; it must exit with that status
-//   @wait                the program must become ready (done by itself before the first consumer)
+//   @deaf                the provider's machine takes no more connections: dials to it stay silent
 #pragma once
 
 #include <string>
