Follow the real descriptor limit; let any protocol hand in invocations

Checked by exchange: with 64 descriptors allowed and 1,024 stated, the program went out of descriptors and stopped accepting; budgets follow the process's limit now (config::load), and a failed accept ends the longest idle connection (Server::end_oldest_idle). Also: consumer::InvocationHost and consumer::Consumer stand between protocols and the ingress; Session is one user of them.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -2,6 +2,7 @@
 
 #include <rapidjson/document.h>
 #include <rapidjson/error/en.h>
+#include <sys/resource.h>
 
 #include <charconv>
 #include <cmath>
@@ -17,6 +18,8 @@
 
 using Json = rapidjson::Value;
 
+constexpr std::size_t kSocketsLeast = 64;
+
 // An object and its path, for messages that name the field.
 class Node {
   public:
@@ -196,7 +199,7 @@
     }
     if (const auto limits = root.node("limits")) {
         const double sockets = limits->positive("sockets", static_cast<double>(config.sockets));
-        if (sockets < 64) throw Bad("limits.sockets is under 64");
+        if (sockets < kSocketsLeast) throw Bad("limits.sockets is under 64");
         config.sockets = static_cast<std::size_t>(std::min(sockets, 1e6));
     }
     read_settings(Node(root.need("settings"), "settings"), config);
@@ -225,6 +228,14 @@
     override_by(config.name, "NODE_NAME");
     override_by(config.listen, "NODE_LISTEN");
     override_by(config.directory, "NODE_DISCOVERY");
+    // Budgets follow what the process may really hold, should the platform allow less than it states.
+    rlimit files{};
+    if (getrlimit(RLIMIT_NOFILE, &files) == 0 && files.rlim_cur < config.sockets) {
+        files.rlim_cur = std::min<rlim_t>(config.sockets, files.rlim_max);
+        if (setrlimit(RLIMIT_NOFILE, &files) != 0) throw Bad("limits.sockets can't be had");
+        if (files.rlim_cur < kSocketsLeast) throw Bad("the limit on open files is under 64");
+        config.sockets = files.rlim_cur;
+    }
     check_address(config.listen, "NODE_LISTEN");
     check_address(config.directory, "NODE_DISCOVERY");
     return config;
--- a/src/consumer/invocation.hpp
+++ b/src/consumer/invocation.hpp
@@ -32,4 +32,21 @@
     std::string_view content_type, body;
 };
 
+// Who asked, by whatever protocol: takes the one final answer.
+class Consumer {
+  public:
+    virtual ~Consumer() = default;
+    virtual void answer(const Answer& answer) = 0;
+};
+
+// What a protocol's server side hands its invocations to.
+class InvocationHost {
+  public:
+    virtual ~InvocationHost() = default;
+    // One final answer is owed from here on. Returns the number that on_left() tells.
+    virtual std::uint64_t on_invocation(std::shared_ptr<Consumer> consumer,
+                                        std::shared_ptr<Invocation> invocation) = 0;
+    virtual void on_left(std::uint64_t number) = 0;   // the consumer has gone; nothing is owed
+};
+
 }   // namespace slatejunction::consumer
--- a/src/consumer/server.cpp
+++ b/src/consumer/server.cpp
@@ -16,13 +16,17 @@
     : host_(host),
       most_(most),
       listener_(
-          timers, [this] { return room(); },
-          [this](net::Ref<GSocket> socket) { take(std::move(socket)); }) {}
+          timers, [this] { return room(); }, [this](net::Ref<GSocket> socket) { take(std::move(socket)); },
+          [this](const char* why) {
+              host_.on_accept_failed(why);
+              end_oldest_idle();
+          }) {}
 
 // A request counts as taken once it lies in a connection that the machine has accepted, so a full house
 // gives up the connection that has been idle longest rather than leave others waiting in the backlog.
-bool Server::room() {
-    if (sessions_.size() < most_) return true;
+bool Server::room() { return sessions_.size() < most_ || end_oldest_idle(); }
+
+bool Server::end_oldest_idle() {
     Session* oldest = nullptr;
     for (const auto& [session, linked] : sessions_)
         if (session->idle() && !linked->stream.readable() &&
--- a/src/consumer/server.hpp
+++ b/src/consumer/server.hpp
@@ -22,6 +22,7 @@
   private:
     struct Linked;
     bool room();
+    bool end_oldest_idle();
     void take(net::Ref<GSocket> socket);
 
     SessionHost& host_;
--- a/src/consumer/session.cpp
+++ b/src/consumer/session.cpp
@@ -91,7 +91,8 @@
         host_.on_bad_request(404, why);
         return answer({404, 0, {}, {}});
     }
-    const std::uint64_t number = host_.on_invocation(*this, std::move(invocation));
+    const std::uint64_t number =
+        host_.on_invocation(std::static_pointer_cast<Session>(shared_from_this()), std::move(invocation));
     if (busy_) number_ = number;
 }
 
--- a/src/consumer/session.hpp
+++ b/src/consumer/session.hpp
@@ -9,24 +9,21 @@
 class Session;
 
 // What sessions need of the program.
-class SessionHost {
+class SessionHost : public InvocationHost {
   public:
-    virtual ~SessionHost() = default;
-    // One final answer is owed: Session::answer(). Returns the number that on_left() tells.
-    virtual std::uint64_t on_invocation(Session& session, std::shared_ptr<Invocation> invocation) = 0;
-    virtual void on_left(std::uint64_t number) = 0;   // the consumer has gone; nothing is owed
-    virtual bool ready() const = 0;                   // for the front
-    virtual bool stopping() const = 0;                // connections are to end after their answer
+    virtual bool ready() const = 0;      // for the front
+    virtual bool stopping() const = 0;   // connections are to end after their answer
     virtual void on_bad_request(int status, const char* why) = 0;
+    virtual void on_accept_failed(const char* why) = 0;
     virtual void on_closed(Session& session) = 0;   // may forget the session
 };
 
-class Session : public net::Protocol {
+class Session : public net::Protocol, public Consumer {
   public:
     explicit Session(SessionHost& host) : host_(host), parser_(http::Parser::Kind::request) {}
     void attach(net::Transport& transport) { transport_ = &transport; }
 
-    void answer(const Answer& answer);
+    void answer(const Answer& answer) override;
     bool idle() const { return !busy_ && !closing_ && buffer_.view().empty() && !transport_->unsent(); }
     bool busy() const { return busy_; }
     double since() const { return since_; }   // when it last changed its state
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -85,17 +85,17 @@
 
 // Facts. ----------------------------------------------------------------------------------------------
 
-std::uint64_t Ingress::on_invocation(consumer::Session& session,
+std::uint64_t Ingress::on_invocation(std::shared_ptr<consumer::Consumer> consumer,
                                      std::shared_ptr<consumer::Invocation> invocation) {
     const auto& classes = config_.settings.classes;
     if (std::none_of(classes.begin(), classes.end(),
                      [&](const auto& one) { return one.name == invocation->service_class; })) {
         on_bad_request(404, "class");
-        session.answer({404, 0, {}, {}});
+        consumer->answer({404, 0, {}, {}});
         return 0;
     }
     if (config_.max_open > 0 && open_.size() >= config_.max_open) {
-        session.answer({503, config_.settings.max_retry_after_s, {}, {}});
+        consumer->answer({503, config_.settings.max_retry_after_s, {}, {}});
         return 0;
     }
     const std::uint64_t number = ++numbers_;
@@ -103,7 +103,7 @@
     open.number = number;
     open.id = std::to_string(number);
     open.invocation = std::move(invocation);
-    open.session = std::static_pointer_cast<consumer::Session>(session.shared_from_this());
+    open.consumer = std::move(consumer);
     const consumer::Invocation& i = *open.invocation;
     slatejunction::Request request;
     request.id = open.id;
@@ -120,8 +120,8 @@
 
 void Ingress::on_left(std::uint64_t number) {
     const auto at = open_.find(number);
-    if (at == open_.end() || !at->second.session) return;
-    at->second.session.reset();
+    if (at == open_.end() || !at->second.consumer) return;
+    at->second.consumer.reset();
     const std::string id = at->second.id;
     forget_if_over(number);
     tell(slatejunction::ClientGone{id});
@@ -131,6 +131,10 @@
     log_.write(Log::Level::warning, net::now(), "bad request: %d, %s", status, why);
 }
 
+void Ingress::on_accept_failed(const char* why) {
+    log_.write(Log::Level::warning, net::now(), "accepting failed: %s", why);
+}
+
 void Ingress::on_closed(consumer::Session& session) { server_.forget(session); }
 
 void Ingress::on_call_end(const provider::CallTag& tag, const provider::CallEnd& end) {
@@ -139,13 +143,13 @@
     Open& open = at->second;
     open.calls[static_cast<std::size_t>(tag.attempt)].reset();
     --open.out;
-    if (end.outcome == Outcome::ok && open.session) answer(open, {200, 0, end.content_type, end.body});
+    if (end.outcome == Outcome::ok && open.consumer) answer(open, {200, 0, end.content_type, end.body});
     slatejunction::AttemptEnd event;
     event.id = open.id;
     event.attempt = tag.attempt;
     event.outcome = end.outcome;
     event.took_s = end.took_s;
-    event.ended = !open.session;
+    event.ended = !open.consumer;
     event.quota_use = end.quota_use;
     event.report = end.report;
     forget_if_over(tag.invocation);
@@ -229,7 +233,7 @@
 
 void Ingress::carry_out(const slatejunction::Refuse& refuse) {
     Open* open = find(refuse.id);
-    if (open && open->session) answer(*open, {503, refuse.retry_after_s, {}, {}});
+    if (open && open->consumer) answer(*open, {503, refuse.retry_after_s, {}, {}});
     if (open) forget_if_over(open->number);
 }
 
@@ -237,7 +241,7 @@
     Open* open = find(abort.id);
     if (!open) return;
     const bool late = open->invocation->due - net::now() < kNearDue;
-    if (open->session) answer(*open, {late ? 504 : 502, 0, {}, {}});
+    if (open->consumer) answer(*open, {late ? 504 : 502, 0, {}, {}});
     forget_if_over(open->number);
 }
 
@@ -259,14 +263,14 @@
 }
 
 void Ingress::answer(Open& open, const consumer::Answer& answer) {
-    const auto session = std::move(open.session);
-    open.session.reset();
-    session->answer(answer);
+    const auto consumer = std::move(open.consumer);
+    open.consumer.reset();
+    consumer->answer(answer);
 }
 
 void Ingress::forget_if_over(std::uint64_t number) {
     const auto at = open_.find(number);
-    if (at != open_.end() && !at->second.session && at->second.out == 0) open_.erase(at);
+    if (at != open_.end() && !at->second.consumer && at->second.out == 0) open_.erase(at);
 }
 
 }   // namespace slatejunction::ingress
--- a/src/ingress/ingress.hpp
+++ b/src/ingress/ingress.hpp
@@ -30,7 +30,7 @@
         std::uint64_t number = 0;
         std::string id;   // the module's name for it: short, and unlike the consumer's never repeated
         std::shared_ptr<consumer::Invocation> invocation;
-        std::shared_ptr<consumer::Session> session;                 // empty once it is answered
+        std::shared_ptr<consumer::Consumer> consumer;               // empty once it is answered
         std::vector<std::shared_ptr<provider::Connection>> calls;   // by attempt; empty once ended
         int out = 0;
     };
@@ -41,12 +41,13 @@
     };
     struct WatchLink;
 
-    std::uint64_t on_invocation(consumer::Session& session,
+    std::uint64_t on_invocation(std::shared_ptr<consumer::Consumer> consumer,
                                 std::shared_ptr<consumer::Invocation> invocation) override;
     void on_left(std::uint64_t number) override;
     bool ready() const override { return !stopping_; }
     bool stopping() const override { return stopping_; }
     void on_bad_request(int status, const char* why) override;
+    void on_accept_failed(const char* why) override;
     void on_closed(consumer::Session& session) override;
     void on_call_end(const provider::CallTag& tag, const provider::CallEnd& end) override;
     void on_probe_end(const std::string& provider, const provider::CallEnd& end) override;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -8,8 +8,12 @@
 constexpr double kPause = 0.05;   // s; before accepting again after a failure, such as no descriptors left
 }   // namespace
 
-Listener::Listener(Timers& timers, std::function<bool()> room, std::function<void(Ref<GSocket>)> taken)
-    : again_(timers, [this] { watch(); }), room_(std::move(room)), taken_(std::move(taken)) {}
+Listener::Listener(Timers& timers, std::function<bool()> room, std::function<void(Ref<GSocket>)> taken,
+                   std::function<void(const char*)> failed)
+    : again_(timers, [this] { watch(); }),
+      room_(std::move(room)),
+      taken_(std::move(taken)),
+      failed_(std::move(failed)) {}
 
 bool Listener::start(const std::string& address, std::string& why) {
     const Address at = parse_address(address);
@@ -61,6 +65,7 @@
         // Guards against a spin: with no descriptors left the listener stays readable.
         listener.source_.reset();
         listener.again_.arm(now() + kPause);
+        listener.failed_(fault->message);
     }
     return G_SOURCE_CONTINUE;
 }
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -12,11 +12,12 @@
 class Listener {
   public:
     // `taken` gets each connection; `room` tells whether another may be taken, else accepting pauses.
-    Listener(Timers& timers, std::function<bool()> room, std::function<void(Ref<GSocket>)> taken);
+    // `failed` tells that accepting failed, as it does when no descriptors are left.
+    Listener(Timers& timers, std::function<bool()> room, std::function<void(Ref<GSocket>)> taken,
+             std::function<void(const char*)> failed);
     bool start(const std::string& address, std::string& why);
     void stop();
     void poke();   // there may be room again
-    bool paused() const { return !source_; }
 
   private:
     static gboolean on_in(GSocket*, GIOCondition, gpointer self);
@@ -24,6 +25,7 @@
     Timer again_;
     std::function<bool()> room_;
     std::function<void(Ref<GSocket>)> taken_;
+    std::function<void(const char*)> failed_;
     Ref<GSocket> socket_;
     Source source_;
 };
--- a/tests/ingress/player.cpp
+++ b/tests/ingress/player.cpp
@@ -99,6 +99,7 @@
             const std::size_t mark = line.find(" => ");
             return change(line.substr(5, mark - 5), line.substr(mark + 4));
         }
+        if (verb == "@files") return void(files_ = name);
         if (pid_ == 0) start();
         if (verb == "@consumer") return use("consumer " + name, [&] { return connect(); });
         if (verb == "@provider") return use("provider " + name, [&] { return accept(provider_); });
@@ -156,9 +157,11 @@
         ::setenv("NODE_CONFIG", path, 1);
         ::setenv("NODE_LISTEN", ("127.0.0.1:" + std::to_string(port_)).c_str(), 1);
         ::setenv("NODE_DISCOVERY", ("127.0.0.1:" + std::to_string(directory_port_)).c_str(), 1);
-        char program[] = PROGRAM;
-        char* const argv[] = {program, nullptr};
-        REQUIRE(::posix_spawn(&pid_, program, nullptr, nullptr, argv, environ) == 0);
+        std::string shell = "/bin/sh", flag = "-c";
+        std::string command = "exec " PROGRAM;
+        if (!files_.empty()) command = "ulimit -n " + files_ + "; " + command;
+        char* const argv[] = {shell.data(), flag.data(), command.data(), nullptr};
+        REQUIRE(::posix_spawn(&pid_, argv[0], nullptr, nullptr, argv, environ) == 0);
     }
 
     template <class Make>
@@ -219,7 +222,7 @@
     Fd provider_, directory_;
     std::vector<Fd> fillers_;
     int provider_port_ = 0, directory_port_ = 0, port_ = 0;
-    std::string config_, config_path_;
+    std::string config_, config_path_, files_;
     ::pid_t pid_ = 0;
     std::map<std::string, Peer> peers_;
     Peer* peer_ = nullptr;
--- a/tests/ingress/player.hpp
+++ b/tests/ingress/player.hpp
@@ -3,6 +3,7 @@
 // A file is read line by line:
 //   # text               a comment
 //   @set FROM => TO      before anything else: a change to the configuration's text
+//   @files N             likewise: the program may hold so many descriptors
 //   @consumer NAME       the lines that follow belong to this connection; made when first named
 //   @provider N          connection N (1, 2 ...) that the program opens to the provider
 //   @directory N         connection N that the program opens to the directory
