Tell unknown paths from unreadable requests by the known classes

Seen in review: a request without X-Class was 404 or 400 by whether other fields were there, and a class unlike its path was 404. The path's first part decides 404 now, and X-Class must agree with it (consumer::read_invocation).

--- a/src/consumer/invocation.cpp
+++ b/src/consumer/invocation.cpp
@@ -43,7 +43,12 @@
 
 }   // namespace
 
-Fault read_invocation(const http::Head& head, double now, Invocation& invocation, const char*& why) {
+std::string_view first_part(std::string_view target) {
+    target.remove_prefix(1);
+    return target.substr(0, target.find_first_of("/?"));
+}
+
+std::string_view read_invocation(const http::Head& head, double now, Invocation& invocation) {
     invocation.method = head.first;
     invocation.target = head.second;
     // Two fields of one name are two readings of the request: neither is taken.
@@ -56,30 +61,21 @@
     invocation.service_class = field("x-class");
     invocation.plan = field("x-tier");
     invocation.content_type = field("content-type");
+    invocation.repeat = field("x-retry") == "1";
     const std::string_view deadline = field("x-deadline");
     const std::string_view terms = field("x-call-terms");
-    invocation.repeat = field("x-retry") == "1";
-
-    std::string_view first = invocation.target.substr(1);
-    first = first.substr(0, first.find_first_of("/?"));
-    why = "path";
-    if (invocation.service_class.empty() ? first != "" && deadline.empty() && terms.empty()
-                                         : first != invocation.service_class)
-        return Fault::not_found;
-    const auto bad = [&](const char* name) { return why = name, Fault::bad_request; };
-    if (repeated) return bad("a repeated field");
-    if (invocation.method != "GET" && invocation.method != "POST") return bad("method");
-    if (invocation.request_id.empty()) return bad("X-Request-Id");
-    if (invocation.service_class.empty()) return bad("X-Class");
-    if (invocation.plan.empty()) return bad("X-Tier");
     double wait = 0;
-    if (!read(deadline, wait) || !std::isfinite(wait) || wait < 0) return bad("X-Deadline");
-    if (!read_terms(terms, invocation)) return bad("X-Call-Terms");
-    if (!read_customer(invocation.target, invocation.customer)) return bad("customer");
+    if (repeated) return "a repeated field";
+    if (invocation.method != "GET" && invocation.method != "POST") return "method";
+    if (invocation.request_id.empty()) return "X-Request-Id";
+    if (invocation.service_class != first_part(invocation.target)) return "X-Class";
+    if (invocation.plan.empty()) return "X-Tier";
+    if (!read(deadline, wait) || !std::isfinite(wait) || wait < 0) return "X-Deadline";
+    if (!read_terms(terms, invocation)) return "X-Call-Terms";
+    if (!read_customer(invocation.target, invocation.customer)) return "customer";
     invocation.arrived = now;
     invocation.due = now + wait;
-    why = "";
-    return Fault::none;
+    return {};
 }
 
 }   // namespace slatejunction::consumer
--- a/src/consumer/invocation.hpp
+++ b/src/consumer/invocation.hpp
@@ -20,10 +20,12 @@
     bool repeat = false;
 };
 
-enum class Fault { none, bad_request, not_found };
+// Reads the fields of a parsed request, but its body. Names the first that is missing or unreadable; empty
+// when all is well.
+std::string_view read_invocation(const http::Head& head, double now, Invocation& invocation);
 
-// Reads the fields of a parsed request; `why` names the first that is missing or unreadable.
-Fault read_invocation(const http::Head& head, double now, Invocation& invocation, const char*& why);
+// The first part of a target's path, which names the class.
+std::string_view first_part(std::string_view target);
 
 // How an invocation ended, for the consumer.
 struct Answer {
--- a/src/consumer/session.cpp
+++ b/src/consumer/session.cpp
@@ -69,13 +69,13 @@
     since_ = now;
     const std::string_view path = head.second.substr(0, head.second.find('?'));
     const bool health = path == "/health/ready";
+    const bool known = health || host_.knows_class(first_part(head.second));
     auto invocation = std::make_shared<Invocation>();
-    const char* why = "";
-    const Fault fault = health ? Fault::none : read_invocation(head, now, *invocation, why);
+    const std::string_view fault = health || !known ? "" : read_invocation(head, now, *invocation);
     invocation->body = parser_.body();
     const std::size_t used = parser_.used();
     parser_.reset();
-    if (fault == Fault::bad_request) return reject(400, why);
+    if (!fault.empty()) return reject(400, fault);
     // The invocation keeps the bytes that its views point into; what lies behind it moves on.
     const std::string_view rest = buffer_.view().substr(used);
     http::Buffer next;
@@ -87,8 +87,8 @@
     invocation->bytes = std::move(buffer_);
     buffer_ = std::move(next);
     if (health) return answer({host_.ready() ? 200 : 503, 0, {}, {}});
-    if (fault == Fault::not_found) {
-        host_.on_bad_request(404, why);
+    if (!known) {
+        host_.on_bad_request(404, "path");
         return answer({404, 0, {}, {}});
     }
     const std::uint64_t number =
@@ -97,7 +97,7 @@
 }
 
 // Where one message ends is not known after a bad one, so the connection ends with it.
-void Session::reject(int status, const char* why) {
+void Session::reject(int status, std::string_view why) {
     host_.on_bad_request(status, why);
     keep_alive_ = false;
     answer({status, 0, {}, {}});
--- a/src/consumer/session.hpp
+++ b/src/consumer/session.hpp
@@ -13,7 +13,8 @@
   public:
     virtual bool ready() const = 0;      // for the front
     virtual bool stopping() const = 0;   // connections are to end after their answer
-    virtual void on_bad_request(int status, const char* why) = 0;
+    virtual bool knows_class(std::string_view name) const = 0;
+    virtual void on_bad_request(int status, std::string_view why) = 0;
     virtual void on_accept_failed(const char* why) = 0;
     virtual void on_closed(Session& session) = 0;   // may forget the session
 };
@@ -39,7 +40,7 @@
   private:
     void read_next();
     void take();
-    void reject(int status, const char* why);
+    void reject(int status, std::string_view why);
     void finish_answer();
 
     SessionHost& host_;
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -87,13 +87,6 @@
 
 std::uint64_t Ingress::on_invocation(std::shared_ptr<consumer::Consumer> consumer,
                                      std::shared_ptr<consumer::Invocation> invocation) {
-    const auto& classes = config_.settings.classes;
-    if (std::none_of(classes.begin(), classes.end(),
-                     [&](const auto& one) { return one.name == invocation->service_class; })) {
-        on_bad_request(404, "class");
-        consumer->answer({404, 0, {}, {}});
-        return 0;
-    }
     if (config_.max_open > 0 && open_.size() >= config_.max_open) {
         consumer->answer({503, config_.settings.max_retry_after_s, {}, {}});
         return 0;
@@ -127,8 +120,14 @@
     tell(slatejunction::ClientGone{id});
 }
 
-void Ingress::on_bad_request(int status, const char* why) {
-    log_.write(Log::Level::warning, net::now(), "bad request: %d, %s", status, why);
+bool Ingress::knows_class(std::string_view name) const {
+    const auto& classes = config_.settings.classes;
+    return std::any_of(classes.begin(), classes.end(), [&](const auto& one) { return one.name == name; });
+}
+
+void Ingress::on_bad_request(int status, std::string_view why) {
+    log_.write(Log::Level::warning, net::now(), "bad request: %d, %.*s", status,
+               static_cast<int>(why.size()), why.data());
 }
 
 void Ingress::on_accept_failed(const char* why) {
--- a/src/ingress/ingress.hpp
+++ b/src/ingress/ingress.hpp
@@ -46,7 +46,8 @@
     void on_left(std::uint64_t number) override;
     bool ready() const override { return !stopping_; }
     bool stopping() const override { return stopping_; }
-    void on_bad_request(int status, const char* why) override;
+    bool knows_class(std::string_view name) const override;
+    void on_bad_request(int status, std::string_view why) override;
     void on_accept_failed(const char* why) override;
     void on_closed(consumer::Session& session) override;
     void on_call_end(const provider::CallTag& tag, const provider::CallEnd& end) override;
