--- a/src/consumer/session.cpp
+++ b/src/consumer/session.cpp
@@ -40,6 +40,8 @@
 }
 
 void Session::on_bytes(std::size_t size) {
+    // A request that begins after a long idle time has not been stuck for that time.
+    if (!busy_ && !closing_ && buffer_.view().empty()) since_ = net::now();
     buffer_.commit(size);
     if (closing_) buffer_.clear();
     if (!busy_ && !closing_) read_next();
--- a/src/net/timers.cpp
+++ b/src/net/timers.cpp
@@ -49,6 +49,9 @@
         nullptr};
     source_.reset(g_source_new(&calls, sizeof(Wake)));
     reinterpret_cast<Wake*>(source_.get())->self = this;
+    // Behind the sockets: a program that stood still finds answers waiting, and they count before
+    // time-outs.
+    g_source_set_priority(source_.get(), G_PRIORITY_DEFAULT + 10);
     attach(source_.get());
 }
 
--- a/tests/ingress/parts_test.cpp
+++ b/tests/ingress/parts_test.cpp
@@ -5,6 +5,7 @@
 
 #include "bench.hpp"
 #include "config/config.hpp"
+#include "consumer/session.hpp"
 #include "net/glib.hpp"
 
 using namespace slatejunction;
@@ -74,3 +75,51 @@
     }
     CHECK(passed > 20 * 10);
 }
+
+namespace {
+
+// A session without a socket: what it is told and does is all there is to see.
+struct Bench : consumer::SessionHost, net::Transport {
+    std::uint64_t on_invocation(std::shared_ptr<consumer::Consumer>,
+                                std::shared_ptr<consumer::Invocation>) override {
+        return ++taken;
+    }
+    void on_left(std::uint64_t) override {}
+    bool ready() const override { return true; }
+    bool stopping() const override { return false; }
+    bool knows_class(std::string_view name) const override { return name == "risk-read"; }
+    void on_bad_request(int, std::string_view) override {}
+    void on_accept_failed(const char*) override {}
+    void on_closed(consumer::Session&) override { ended = true; }
+    bool send(std::span<const std::string_view>) override { return true; }
+    bool unsent() const override { return false; }
+    void resume() override {}
+    void finish() override {}
+    void close() override {}
+    std::uint64_t taken = 0;
+    bool ended = false;
+};
+
+void feed(consumer::Session& session, std::string_view bytes) {
+    const auto room = session.space();
+    REQUIRE(room.size() >= bytes.size());
+    bytes.copy(room.data(), bytes.size());
+    session.on_bytes(bytes.size());
+}
+
+}   // namespace
+
+// Guards against a connection that is ended as stuck because it was idle for long before its request began.
+TEST_CASE("a request that comes in pieces on a long idle connection is not stuck") {
+    Bench bench;
+    const auto session = std::make_shared<consumer::Session>(bench);
+    session->attach(bench);
+    const double made = session->since();
+    while (net::now() < made + 0.02) {
+    }
+    feed(*session, "GET /risk-read?cust");
+    session->end_if_stuck(made + 10.01, 10);
+    CHECK(!bench.ended);
+    session->end_if_stuck(net::now() + 10.01, 10);   // but one that never goes on is
+    CHECK(bench.ended);
+}
--- a/tests/ingress/player.cpp
+++ b/tests/ingress/player.cpp
@@ -104,6 +104,9 @@
         if (verb == "@consumer") return use("consumer " + name, [&] { return connect(); });
         if (verb == "@provider") return use("provider " + name, [&] { return accept(provider_); });
         if (verb == "@directory") return use("directory " + name, [&] { return accept(directory_); });
+        if (verb == "@freeze") return void(::kill(pid_, SIGSTOP));
+        if (verb == "@thaw")
+            return ::usleep(1000 * static_cast<unsigned>(std::stoul(name))), void(::kill(pid_, SIGCONT));
         if (verb == "@term") return void(::kill(pid_, SIGTERM));
         if (verb == "@exit") return expect_exit(std::stoi(name));
         if (verb == "@deaf") return fill();
--- a/tests/ingress/player.hpp
+++ b/tests/ingress/player.hpp
@@ -12,6 +12,7 @@
 //   @body N              N bytes 'x' sent at once; @expect-body N the same, from the program
 //   @end  @reset         ends its sending, or breaks the connection
 //   @closed              the program must end the connection, with nothing more sent
+//   @freeze  @thaw N     the program stands still, and goes on after N ms
 //   @term  @exit N       SIGTERM to the program; it must exit with that status
 //   @deaf                the provider's machine takes no more connections: dials to it stay silent
 #pragma once
