--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -35,6 +35,7 @@
 constexpr double kPrior = 0.15;          // tries at the plan's rate that this is worth as evidence
 constexpr double kEvidence = 6.0;        // tries at the plan's rate; older readings give way to that many
 constexpr double kMargin = 1.0;          // of the rate; for a store of one try, by what surplus costs
+constexpr double kBorrow = 3.0;          // tries that the dearest class may borrow; a store holds some
 constexpr double kRepeat = 3.0;          // tries that a client's repeat tells of beside itself
 constexpr double kUseFade = 12.0;        // s; readings are forgotten over this time
 constexpr double kCustomerIdle = 60.0;   // s; then a customer is forgotten
@@ -201,7 +202,8 @@
     double asks = 0;         // tries asked for here, fading
     double told_tries = 0;   // tries that the plan's rate would have brought in the time told of
     double exposure = 0;   // tries that the plan's rate would have brought meanwhile, times the share then
-    double phase = -1;     // of the draws; below 0: none yet
+    double phase = 0;      // of the draws
+    bool drawn = false;    // has the first been made
     double share = 1;      // pass share in force, averaged over the time not metered yet
     double told = -1e18;   // when the last reading was applied, and what it said
     double last_use = -1;
@@ -264,11 +266,12 @@
     // Passes with chance `share`, by systematic sampling: from a random start the shares add up, and each
     // whole one passes a try. What passes is then spread evenly, where single draws would come in runs that
     // the store does not hold. Covers long surplus through several doors; harm: none known, as starts
-    // differ.
-    bool draw(Customer& c, double share, Random& random) {
-        if (c.phase < 0) c.phase = random.unit();
+    // differ. All tries count alike against a quota, so a class of more worth (here over the dearest one's)
+    // may borrow from later draws: of a surplus the dear tries pass first, and as many in all.
+    bool draw(Customer& c, double share, double worth, Random& random) {
+        if (!c.drawn) c.drawn = true, c.phase = random.unit();
         c.phase += share;
-        if (c.phase < 1) return false;
+        if (c.phase < 1 - kBorrow * worth) return false;
         c.phase -= 1;
         return true;
     }
@@ -625,6 +628,7 @@
   public:
     Impl(Settings settings, std::uint64_t seed) : settings_(std::move(settings)), random_(seed) {
         servers_.configure(&settings_, settings_.classes.size() * (settings_.plans.size() + 1));
+        for (const ServiceClass& c : settings_.classes) top_worth_ = std::max(top_worth_, sane(c.worth));
     }
 
     void handle(double now, const Event& event, std::vector<Action>& actions) {
@@ -677,7 +681,7 @@
         Customer& c = shares_.find(request.customer, now_, *plan, request.doors);
         const double share = shares_.share(c, *plan, units, request.repeat);
         c.ceiling.refill(now_, start_, *plan, c.doors);
-        if (!shares_.draw(c, share, random_))
+        if (!shares_.draw(c, share, sane(service->worth) / top_worth_, random_))
             return refuse(kByShare, request, kSurplusStay * service->aim_s);
         if ((plan->ceiling_rate > 0 && !c.ceiling.holds(units)) ||
             (plan->max_out > 0 && c.out >= plan->max_out))
@@ -933,6 +937,7 @@
     std::array<int, 5> refused_{};   // by guard, since the last log line
     double retries_ = kRetryFirst;
     double retries_at_ = 0;
+    double top_worth_ = 1e-9;           // of the dearest class
     double open_ = 0, open_aims_ = 0;   // attempts out, and each over its class's aim
     bool repeatable_ = false;           // is there a class that may be used for trials
     bool started_ = false, started_clock_ = false;
