Never starve a customer whose store is small: a floor under the margin

Seen: the test of even draws passed 124 of 6,000 tries at a store of two, as 1 - 1.5 / sqrt(2) is below 0 (QuotaShares::share, src/brain.cpp).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -16,28 +16,29 @@
 namespace {
 
 // Constants: unit, then reason. The same for every deployment; latencies are in parts of a class's aim.
-constexpr double kReference = 0.3;       // aims; servers held full for seconds may get less done
-constexpr double kPeriod = 0.5;          // s; the paper's sampling time
-constexpr double kStalePeriod = 1.0;     // s; a period with few samples closes by then all the same
-constexpr double kMinSamples = 2;        // answers at the reference; slower ones prove a queue by fewer
-constexpr double kStretch = 4.0;         // periods' steps that one long period may move
-constexpr double kSampleTop = 0.6;       // aims; a few slow servers or requests are no queue
-constexpr double kFloor = 0.05;          // admitted fraction; the paper's low starting point
-constexpr double kStep = 0.4;            // fraction; at full evidence, while the quotient is unusable
-constexpr double kGainTop = 1.0;         // fraction per aim; bounds what two noisy points can ask for
-constexpr double kFilter = 0.5;          // share of news in the filtered proportional term
-constexpr double kIntegral = 0.06;       // fraction per aim and period; the paper's Ki x h / Ti
-constexpr double kReset = 0.5;           // share of windup taken back each period; quicker than Ti
-constexpr double kPointAge = 20.0;       // s; an older point speaks of another load
-constexpr double kFleetShift = 0.15;     // change of the fleet's size that makes old points void
-constexpr double kMeterLag = 2.0;        // metered periods; time whose use is not told yet
-constexpr double kPriorUse = 0.7;        // of the rate; what a customer not heard of is taken to use
-constexpr double kPrior = 0.15;          // tries at the plan's rate that this is worth as evidence
-constexpr double kEvidence = 6.0;        // tries at the plan's rate; older readings give way to that many
-constexpr double kMargin = 1.5;          // of the rate; for a store of one try, by what surplus costs
-constexpr double kBorrow = 3.0;          // tries that the dearest class may borrow; a store holds some
-constexpr double kRepeat = 3.0;          // tries that a client's repeat tells of beside itself
-constexpr double kUseFade = 12.0;        // s; readings are forgotten over this time
+constexpr double kReference = 0.3;     // aims; servers held full for seconds may get less done
+constexpr double kPeriod = 0.5;        // s; the paper's sampling time
+constexpr double kStalePeriod = 1.0;   // s; a period with few samples closes by then all the same
+constexpr double kMinSamples = 2;      // answers at the reference; slower ones prove a queue by fewer
+constexpr double kStretch = 4.0;       // periods' steps that one long period may move
+constexpr double kSampleTop = 0.6;     // aims; a few slow servers or requests are no queue
+constexpr double kFloor = 0.05;        // admitted fraction; the paper's low starting point
+constexpr double kStep = 0.4;          // fraction; at full evidence, while the quotient is unusable
+constexpr double kGainTop = 1.0;       // fraction per aim; bounds what two noisy points can ask for
+constexpr double kFilter = 0.5;        // share of news in the filtered proportional term
+constexpr double kIntegral = 0.06;     // fraction per aim and period; the paper's Ki x h / Ti
+constexpr double kReset = 0.5;         // share of windup taken back each period; quicker than Ti
+constexpr double kPointAge = 20.0;     // s; an older point speaks of another load
+constexpr double kFleetShift = 0.15;   // change of the fleet's size that makes old points void
+constexpr double kMeterLag = 2.0;      // metered periods; time whose use is not told yet
+constexpr double kPriorUse = 0.7;      // of the rate; what a customer not heard of is taken to use
+constexpr double kPrior = 0.15;        // tries at the plan's rate that this is worth as evidence
+constexpr double kEvidence = 6.0;      // tries at the plan's rate; older readings give way to that many
+constexpr double kMargin = 1.5;        // of the rate; for a store of one try, by what surplus costs
+constexpr double kAimLeast = 0.3;      // of the rate; however small its store, a customer is never starved
+constexpr double kBorrow = 3.0;        // tries that the dearest class may borrow; a store holds some
+constexpr double kRepeat = 3.0;        // tries that a client's repeat tells of beside itself
+constexpr double kUseFade = 12.0;      // s; readings are forgotten over this time
 constexpr double kCustomerIdle = 60.0;   // s; then a customer is forgotten
 constexpr double kLatencyNews = 0.15;    // weight of one answer in a server's latency
 constexpr double kFleetNews = 0.02;      // weight of one answer in the fleet's mean latency
@@ -253,8 +254,8 @@
         const double used = std::max(use(c, plan), std::min(c.doors, 2.0) * c.own / (plan.rate * lag));
         const double left = c.store + (1 - used) * lag - units / plan.rate;
         const double fits = std::max(plan.burst / std::max(c.typical, 1e-6), 1.0);   // tries
-        const double aim =
-            1 - kMargin * clamp(plan.over_cost - plan.over_worth, 0.0, 1.0) / std::sqrt(fits);
+        const double cost = clamp(plan.over_cost - plan.over_worth, 0.0, 1.0);
+        const double aim = std::max(kAimLeast, 1 - kMargin * cost / std::sqrt(fits));
         c.share = clamp((aim + (repeat ? 0.0 : std::max(0.0, left)) / lag) / wanted, 0.0, 1.0);
         c.asks += 1;
         c.lately += 1;
