Reload on SIGHUP: move the watch to the file's directory, keep the list and requests

Ruled out: stop path (log shows no 'stopping' line). At fault: main.cpp took only SIGTERM and SIGINT into its signalfd, so SIGHUP kept its default action; load() let NODE_DISCOVERY win at any time. Now: signals are blocked before anything else, SIGHUP uses the same reader with the file's discovery, the new watch goes on from the newest version taken, an older list is left out (a directory that stays behind for 10 s counts as begun anew), a broken file changes nothing and its field is logged. Test: exchanges/reload.txt (move, broken file, older list, twice in a row, during a stop); fails without the handler.

--- a/include/slatejunction/gateway.hpp
+++ b/include/slatejunction/gateway.hpp
@@ -48,6 +48,7 @@
     bool stream = false;
     double worth = 0;
     double late_worth = 0;
+    bool operator==(const ServiceClass&) const = default;
 };
 
 struct Plan {
@@ -61,6 +62,7 @@
     double price = 0;           // worth factor
     double over_worth = 0;      // share of worth earned beyond the quota
     double over_cost = 0;       // share of worth lost when forwarded beyond the quota
+    bool operator==(const Plan&) const = default;
 };
 
 // What the operator states at start. Every default is zero or empty: nothing here is a decision.
@@ -87,6 +89,7 @@
     double warm_within_s = 0;
     double fall_multiple = 0;
     double fall_s = 0;
+    bool operator==(const Settings&) const = default;
 };
 
 enum class ServerState { in, lame, out };
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -200,8 +200,13 @@
     if (const auto limits = root.node("limits")) {
         const double sockets = limits->positive("sockets", static_cast<double>(config.sockets));
         if (sockets < kSocketsLeast) throw Bad("limits.sockets is under 64");
-        config.sockets = static_cast<std::size_t>(std::min(sockets, 1e6));
+        config.sockets = config.stated_sockets = static_cast<std::size_t>(std::min(sockets, 1e6));
     }
+    if (const auto limits = root.node("limits"))
+        config.memory_mb = limits->positive("memory_mb", config.memory_mb);
+    // The module calls no counter, but a file that names a broken one is a broken file.
+    if (const std::string counter = root.text("counter"); !counter.empty())
+        check_address(counter, "counter");
     read_settings(Node(root.need("settings"), "settings"), config);
     int broken = 0;
     if (const Json* known = root.find("known"); known && !read_listing(*known, clock, config.known, broken))
@@ -210,7 +215,7 @@
     return config;
 }
 
-Config load(const std::string& path, const directory::UnixClock& clock) {
+Config load(const std::string& path, const directory::UnixClock& clock, Moment moment) {
     const auto variable = [](const char* name) {
         const char* value = std::getenv(name);
         return std::string(value ? value : "");
@@ -222,12 +227,21 @@
     text << in.rdbuf();
     if (!in || text.str().empty()) throw Bad("NODE_CONFIG can't be read: '" + file + "'");
     Config config = read(text.str(), clock);
-    const auto override_by = [&](std::string& value, const char* name) {
-        if (const std::string set = variable(name); !set.empty()) value = set;
+    // The name of a setting is that of the place it came from.
+    const auto override_by = [&](std::string& value, const char* name, const char* field) {
+        const std::string set = variable(name);
+        if (!set.empty()) value = set;
+        return set.empty() ? field : name;
     };
-    override_by(config.name, "NODE_NAME");
-    override_by(config.listen, "NODE_LISTEN");
-    override_by(config.directory, "NODE_DISCOVERY");
+    override_by(config.name, "NODE_NAME", "name");
+    check_address(config.listen, override_by(config.listen, "NODE_LISTEN", "listen"));
+    check_address(config.directory, moment == Moment::reload
+                                        ? "discovery"
+                                        : override_by(config.directory, "NODE_DISCOVERY", "discovery"));
+    return config;
+}
+
+void hold_descriptors(Config& config) {
     // Budgets follow what the process may really hold, should the platform allow less than it states.
     rlimit files{};
     if (getrlimit(RLIMIT_NOFILE, &files) == 0 && files.rlim_cur < config.sockets) {
@@ -236,9 +250,6 @@
         if (files.rlim_cur < kSocketsLeast) throw Bad("the limit on open files is under 64");
         config.sockets = files.rlim_cur;
     }
-    check_address(config.listen, "NODE_LISTEN");
-    check_address(config.directory, "NODE_DISCOVERY");
-    return config;
 }
 
 }   // namespace slatejunction::config
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -18,7 +18,9 @@
 struct Config {
     std::string name, listen, directory;
     std::uint64_t seed = 0;
-    std::size_t sockets = 1024;   // descriptors the process may hold
+    std::size_t sockets = 1024;          // descriptors the process may hold
+    std::size_t stated_sockets = 1024;   // as the file states them
+    double memory_mb = 192;
     // Settings that the module does not need, as they are about connections.
     std::size_t max_open = 0;   // invocations; 0: no such limit
     double dial_timeout_s = 0.25;
@@ -27,8 +29,15 @@
     directory::Listing known;
 };
 
-// `path` empty: NODE_CONFIG names the file. NODE_NAME, NODE_LISTEN and NODE_DISCOVERY go before the file.
-Config load(const std::string& path, const directory::UnixClock& clock);
+// At the start NODE_NAME, NODE_LISTEN and NODE_DISCOVERY go before the file. A reload is there to move the
+// directory, so it takes that from the file: the environment still says what held at the start.
+enum class Moment { start, reload };
+
+// `path` empty: NODE_CONFIG names the file.
+Config load(const std::string& path, const directory::UnixClock& clock, Moment moment = Moment::start);
+// Lowers or raises the process's limit on descriptors to what the configuration states, and the
+// configuration's figure to what the process may really hold.
+void hold_descriptors(Config& config);
 Config read(const std::string& json, const directory::UnixClock& clock);
 
 }   // namespace slatejunction::config
--- a/src/directory/watch.cpp
+++ b/src/directory/watch.cpp
@@ -10,6 +10,8 @@
 constexpr int kWaitMs = 20000;   // how long a watch call waits for news
 constexpr double kGrace = 1.5;   // s; over that, a silent directory's call is given up
 constexpr double kDial = 1.0;    // s
+// s; a directory that tells nothing but lists older than the one in force for so long counts anew
+constexpr double kOlder = 10;
 constexpr double kFirstPause = 0.05, kLongestPause = 1.0;   // s; before asking again after a failure
 
 }   // namespace
@@ -27,7 +29,7 @@
 }
 
 void Watch::start(std::optional<std::int64_t> known_revision) {
-    revision_ = known_revision;
+    revision_ = newest_ = known_revision;
     dial();
 }
 
@@ -77,8 +79,9 @@
         revision_.reset();   // what it meant is lost: the whole list tells it again
         return fail("a list that can't be read");
     }
+    if (older(listing)) return fail("a list older than the one in force was left out");
     const bool reusable = parser_.head().keep_alive && parser_.used() == buffer_.view().size();
-    revision_ = listing.revision;
+    revision_ = newest_ = listing.revision;
     failures_ = 0;
     parser_.reset();
     buffer_.clear();
@@ -92,6 +95,23 @@
     if (broken > 0) host_.on_lost("entries that can't be read were left out");
 }
 
+// Guards against providers that come back from the dead: after a move, or behind one that can't be read, a
+// directory may hold less than is known here. One that stays behind has begun its count anew: then its
+// whole list is asked for and taken.
+bool Watch::older(const Listing& listing) {
+    const double now = net::now();
+    if (!newest_ || *listing.revision >= *newest_) {
+        older_since_ = 0;
+        return false;
+    }
+    if (older_since_ == 0) older_since_ = now;
+    if (now - older_since_ < kOlder) return true;
+    revision_.reset();
+    const bool whole = listing.update.kind == slatejunction::ListKind::total;
+    if (whole) older_since_ = 0;
+    return !whole;
+}
+
 void Watch::on_end(bool) {
     if (state_ == State::asking && parser_.feed(buffer_, true) == http::Step::done) return take();
     fail("the connection ended");
--- a/src/directory/watch.hpp
+++ b/src/directory/watch.hpp
@@ -26,7 +26,8 @@
     void attach(net::Transport& transport, std::function<bool()> dial);
 
     void start(std::optional<std::int64_t> known_revision);
-    void ask_soon();   // a call now, unless one is out
+    std::optional<std::int64_t> newest() const { return newest_; }   // of the lists taken
+    void ask_soon();                                                 // a call now, unless one is out
 
     void on_open() override;
     std::span<char> space() override { return parser_.room(buffer_); }
@@ -37,6 +38,7 @@
     void dial();
     void ask();
     void take();
+    bool older(const Listing& listing);
     void fail(const char* why);
     void overdue();
 
@@ -52,6 +54,8 @@
     // names no version is answered at once with everything, so that asking again and again would never
     // pause.
     std::optional<std::int64_t> revision_;
+    std::optional<std::int64_t> newest_;
+    double older_since_ = 0;   // since when the directory has told nothing but older lists; 0: it has not
     int failures_ = 0;
     enum class State { waiting, dialling, asking } state_ = State::waiting;
 };
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -35,7 +35,8 @@
 
 Ingress::Ingress(config::Config config, const directory::UnixClock& clock, Log& log,
                  std::function<void()> done)
-    : log_(log),
+    : clock_(clock),
+      log_(log),
       done_(std::move(done)),
       config_(std::move(config)),
       module_timer_(timers_, [this] { timers_due(); }),
@@ -68,6 +69,30 @@
     log_.write(Log::Level::info, stopped_at_, "stopping: %zu invocations open", open_.size());
 }
 
+void Ingress::reload(const config::Config& fresh) {
+    std::string later;
+    const auto waits = [&](bool changed, const char* field) {
+        if (changed) later += std::string(later.empty() ? "" : ", ") + field;
+    };
+    waits(fresh.name != config_.name, "name");
+    waits(fresh.listen != config_.listen, "listen");
+    waits(fresh.stated_sockets != config_.stated_sockets || fresh.memory_mb != config_.memory_mb, "limits");
+    waits(fresh.settings != config_.settings || fresh.max_open != config_.max_open ||
+              fresh.dial_timeout_s != config_.dial_timeout_s || fresh.keepalive_s != config_.keepalive_s,
+          "settings");
+    log_.write(Log::Level::info, net::now(), "reloaded: discovery %s%s%s%s", fresh.directory.c_str(),
+               later.empty() ? "" : "; after the next start: ", later.c_str(),
+               fresh.directory == config_.directory ? "" : "; the watch moves there");
+    if (fresh.directory == config_.directory) return;
+    // The list stays in force and the new watch goes on from its version, so that nothing is told twice or
+    // missed; the file's own list is not taken, as it may be older.
+    config_.directory = fresh.directory;
+    const auto newest = watch_->newest();
+    watch_ = std::make_shared<WatchLink>(static_cast<directory::WatchHost&>(*this), timers_, clock_,
+                                         config_.directory);
+    watch_->start(newest);
+}
+
 void Ingress::sweep() {
     const double now = net::now();
     server_.sweep(now);
--- a/src/ingress/ingress.hpp
+++ b/src/ingress/ingress.hpp
@@ -23,6 +23,9 @@
     ~Ingress();
     bool start(std::string& why);
     void stop();   // finishes what was taken, then calls `done`
+    // Takes a new configuration: moves the watch to where it says that the directory is. What it changes
+    // beside that is named in the log and waits for the next start.
+    void reload(const config::Config& fresh);
 
   private:
     // An invocation from its arrival until the last of its calls has come back.
@@ -71,9 +74,10 @@
     void timers_due();
     void sweep();
 
+    const directory::UnixClock& clock_;
     Log& log_;
     std::function<void()> done_;
-    const config::Config config_;
+    config::Config config_;
     net::Timers timers_;
     net::Timer module_timer_, sweep_timer_;
     slatejunction::Gateway gateway_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -22,30 +22,55 @@
     return kBadUse;
 }
 
+struct Signals {
+    const int fd;
+    slatejunction::ingress::Ingress& ingress;
+    slatejunction::Log& log;
+    const slatejunction::directory::UnixClock& clock;
+    const std::string& config_path;
+
+    // SIGHUP: the file has changed. Guards against a file that is broken or half written: the running
+    // configuration stays in force.
+    void reload() {
+        using namespace slatejunction;
+        try {
+            ingress.reload(config::load(config_path, clock, config::Moment::reload));
+        } catch (const std::exception& bad) {
+            log.write(Log::Level::error, net::now(), "reload refused, nothing changes: %s", bad.what());
+        }
+    }
+
+    static gboolean on_signal(gint, GIOCondition, gpointer data) {
+        auto& self = *static_cast<Signals*>(data);
+        signalfd_siginfo info;
+        if (read(self.fd, &info, sizeof info) != sizeof info) return G_SOURCE_CONTINUE;
+        if (info.ssi_signo == SIGHUP)
+            self.reload();
+        else
+            self.ingress.stop();
+        return G_SOURCE_CONTINUE;
+    }
+};
+
 int serve(const std::string& config_path) {
     using namespace slatejunction;
-    const directory::UnixClock clock;
-    Log log;
-    const net::Loop loop(g_main_loop_new(nullptr, FALSE));
-    ingress::Ingress ingress(config::load(config_path, clock), clock, log,
-                             [&loop] { g_main_loop_quit(loop.get()); });
-    std::signal(SIGPIPE, SIG_IGN);
     // A descriptor of its own for signals: GLib's way would start a thread, and make every wake-up cost
-    // more.
+    // more. Blocked first of all, so that none can end the program while it is starting.
     sigset_t numbers;
     sigemptyset(&numbers);
-    sigaddset(&numbers, SIGTERM);
-    sigaddset(&numbers, SIGINT);
+    for (const int number : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&numbers, number);
     sigprocmask(SIG_BLOCK, &numbers, nullptr);
-    const int fd = signalfd(-1, &numbers, SFD_CLOEXEC | SFD_NONBLOCK);
-    const GUnixFDSourceFunc on_signal = [](gint from, GIOCondition, gpointer self) -> gboolean {
-        signalfd_siginfo info;
-        if (read(from, &info, sizeof info) == sizeof info) static_cast<ingress::Ingress*>(self)->stop();
-        return G_SOURCE_CONTINUE;
-    };
-    const net::Source signals(g_unix_fd_source_new(fd, G_IO_IN));
-    g_source_set_callback(signals.get(), G_SOURCE_FUNC(on_signal), &ingress, nullptr);
-    net::attach(signals.get());
+    std::signal(SIGPIPE, SIG_IGN);
+    const directory::UnixClock clock;
+    Log log;
+    const net::Loop loop(g_main_loop_new(nullptr, FALSE));
+    config::Config config = config::load(config_path, clock);
+    config::hold_descriptors(config);
+    ingress::Ingress ingress(std::move(config), clock, log, [&loop] { g_main_loop_quit(loop.get()); });
+    Signals signals{signalfd(-1, &numbers, SFD_CLOEXEC | SFD_NONBLOCK), ingress, log, clock, config_path};
+    const net::Source source(g_unix_fd_source_new(signals.fd, G_IO_IN));
+    g_source_set_callback(source.get(), G_SOURCE_FUNC(&Signals::on_signal), &signals, nullptr);
+    net::attach(source.get());
     std::string why;
     if (!ingress.start(why)) return fail("NODE_LISTEN can't be listened on: " + why);
     g_main_loop_run(loop.get());
--- a/tests/ingress/player.cpp
+++ b/tests/ingress/player.cpp
@@ -79,6 +79,7 @@
     Player() {
         std::tie(provider_, provider_port_) = listening();
         std::tie(directory_, directory_port_) = listening();
+        std::tie(other_, other_port_) = listening();
         port_ = listening().second;
         std::ifstream in(std::string(EXCHANGES) + "/config.json");
         std::stringstream text;
@@ -107,6 +108,15 @@
         if (verb == "@freeze") return void(::kill(pid_, SIGSTOP));
         if (verb == "@thaw")
             return ::usleep(1000 * static_cast<unsigned>(std::stoul(name))), void(::kill(pid_, SIGCONT));
+        if (verb == "@reload") {
+            const std::size_t mark = line.find(" => ");
+            change(line.substr(8, mark - 8), line.substr(mark + 4));
+            if (config_.find("$OTHER") != std::string::npos)
+                change("$OTHER", "127.0.0.1:" + std::to_string(other_port_));
+            write_config();
+            return void(::kill(pid_, SIGHUP));
+        }
+        if (verb == "@other") return use("other " + name, [&] { return accept(other_); });
         if (verb == "@term") return void(::kill(pid_, SIGTERM));
         if (verb == "@exit") return expect_exit(std::stoi(name));
         if (verb == "@deaf") return fill();
@@ -150,13 +160,15 @@
         config_.replace(at, from.size(), to);
     }
 
+    void write_config() { std::ofstream(config_path_, std::ios::trunc) << config_; }
+
     void start() {
         if (config_.find("$PROVIDER") != std::string::npos)
             change("$PROVIDER", "127.0.0.1:" + std::to_string(provider_port_));
         char path[] = "/tmp/slatejunction-XXXXXX";
         const Fd file(::mkstemp(path));
-        REQUIRE(::write(file.get(), config_.data(), config_.size()) == ::ssize_t(config_.size()));
         config_path_ = path;
+        write_config();
         ::setenv("NODE_CONFIG", path, 1);
         ::setenv("NODE_LISTEN", ("127.0.0.1:" + std::to_string(port_)).c_str(), 1);
         ::setenv("NODE_DISCOVERY", ("127.0.0.1:" + std::to_string(directory_port_)).c_str(), 1);
@@ -222,9 +234,9 @@
         REQUIRE(WEXITSTATUS(status) == wanted);
     }
 
-    Fd provider_, directory_;
+    Fd provider_, directory_, other_;
     std::vector<Fd> fillers_;
-    int provider_port_ = 0, directory_port_ = 0, port_ = 0;
+    int provider_port_ = 0, directory_port_ = 0, other_port_ = 0, port_ = 0;
     std::string config_, config_path_, files_;
     ::pid_t pid_ = 0;
     std::map<std::string, Peer> peers_;
