--- a/src/consumer/invocation.hpp
+++ b/src/consumer/invocation.hpp
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "http/message.hpp"
+#include "slatejunction/gateway.hpp"
 
 namespace slatejunction::consumer {
 
@@ -20,9 +21,13 @@
     bool repeat = false;
 };
 
-// Reads the fields of a parsed request, but its body. Names the first that is missing or unreadable; empty
-// when all is well.
-std::string_view read_invocation(const http::Head& head, double now, Invocation& invocation);
+// Reads the fields of a parsed request, but its body. Names the first that is missing, unreadable or not of
+// the protocol's form under these settings; empty when all is well.
+std::string_view read_invocation(const http::Head& head, const slatejunction::Settings& settings,
+                                 double now, Invocation& invocation);
+
+const slatejunction::ServiceClass* find_class(const slatejunction::Settings& settings,
+                                              std::string_view name);
 
 // The first part of a target's path, which names the class.
 std::string_view first_part(std::string_view target);
--- a/src/consumer/server.cpp
+++ b/src/consumer/server.cpp
@@ -4,8 +4,12 @@
 
 namespace slatejunction::consumer {
 namespace {
-constexpr double kStuck = 10;   // s; a request half sent or an answer half read for longer ends
-}
+
+// s; a session whose time is up but which has bytes waiting: this program may have stood still
+constexpr double kStoodStill = 0.4;
+constexpr std::size_t kMany = 4;   // of the room for sessions, the part from which there are many
+
+}   // namespace
 
 struct Server::Linked : Session {
     explicit Linked(SessionHost& host) : Session(host) { attach(stream); }
@@ -19,21 +23,28 @@
           timers, [this] { return room(); }, [this](net::Ref<GSocket> socket) { take(std::move(socket)); },
           [this](const char* why) {
               host_.on_accept_failed(why);
-              end_oldest_idle();
+              spare_one();
           }) {}
 
 // A request counts as taken once it lies in a connection that the machine has accepted, so a full house
-// gives up the connection that has been idle longest rather than leave others waiting in the backlog.
-bool Server::room() { return sessions_.size() < most_ || end_oldest_idle(); }
+// gives up a connection rather than leave others waiting in the backlog. Guards against consumers that
+// connect by hundreds and say nothing: those go first, before one that was of use.
+bool Server::room() { return sessions_.size() < most_ || spare_one(); }
 
-bool Server::end_oldest_idle() {
-    Session* oldest = nullptr;
-    for (const auto& [session, linked] : sessions_)
-        if (session->idle() && !linked->stream.readable() &&
-            (!oldest || session->since() < oldest->since()))
-            oldest = session;
-    if (!oldest) return false;
-    oldest->end();
+bool Server::spare_one() {
+    const double now = net::now();
+    Session* best = nullptr;
+    int rank = 0;
+    for (const auto& [session, linked] : sessions_) {
+        const int one = session->spare_rank(now);
+        if (one < 0 || (best && (one > rank || (one == rank && session->since() >= best->since()))))
+            continue;
+        // A close must not cross a request that lies there already; what a lingering one sends is dropped.
+        if (one > 0 && linked->stream.readable()) continue;
+        best = session, rank = one;
+    }
+    if (!best) return false;
+    best->end();
     return true;
 }
 
@@ -51,9 +62,12 @@
 
 void Server::sweep(double now) {
     std::vector<std::shared_ptr<Linked>> all;
-    for (const auto& [session, linked] : sessions_)
-        if (!session->busy() && now - session->since() > kStuck) all.push_back(linked);
-    for (const auto& linked : all) linked->end_if_stuck(now, kStuck);
+    const bool many = sessions_.size() > most_ / kMany;
+    for (const auto& [session, linked] : sessions_) {
+        const double over = now - session->expires_at(many);
+        if (over >= 0 && (over > kStoodStill || !linked->stream.readable())) all.push_back(linked);
+    }
+    for (const auto& linked : all) linked->expire();
 }
 
 void Server::end_idle(double now, double idle_s) {
--- a/src/consumer/server.hpp
+++ b/src/consumer/server.hpp
@@ -12,7 +12,7 @@
   public:
     Server(SessionHost& host, net::Timers& timers, std::size_t most);
     bool start(const std::string& address, std::string& why) { return listener_.start(address, why); }
-    void sweep(double now);                     // ends connections that are stuck
+    void sweep(double now);                     // ends connections whose time is up
     void end_idle(double now, double idle_s);   // those idle that long
     void forget(Session& session);
     void stop() { listener_.stop(); }
@@ -22,7 +22,7 @@
   private:
     struct Linked;
     bool room();
-    bool end_oldest_idle();
+    bool spare_one();
     void take(net::Ref<GSocket> socket);
 
     SessionHost& host_;
--- a/src/consumer/session.cpp
+++ b/src/consumer/session.cpp
@@ -2,12 +2,24 @@
 
 #include <array>
 #include <cstdio>
+#include <limits>
 #include <utility>
 
 namespace slatejunction::consumer {
 namespace {
 
 constexpr std::size_t kAheadMost = 4096;   // bytes read ahead of an answer: then the consumer has to wait
+constexpr std::size_t kDropMost = 64 << 20;   // bytes of a consumer that was told to go
+
+// Every consumer has an error or a close within 3 s, so no state but that of an answer owed lasts as long.
+constexpr double kSilent = 2.0;   // s; a new connection on which nothing comes
+constexpr double kWhole = 2.5;    // s; from a request's first byte (or the connection's start) to its last
+constexpr double kUnread = 2.5;   // s; an answer that is not read
+constexpr double kLinger = 4.0;   // s; the peer's part of the end: it may have a large body on its way
+constexpr double kIdle = 10.0;    // s; without a request, after the last answer
+constexpr double kIdleMany = 2.2;   // s; the same among many: each costs every wake-up a look
+// s; how long a full house leaves each of these alone: one just made may be about to ask
+constexpr double kSpareLinger = 0.25, kSpareSilent = 0.1, kSpareHalf = 0.5;
 
 std::string_view start_line(int status) {
     switch (status) {
@@ -17,6 +29,10 @@
             return "HTTP/1.1 400 Bad Request\r\n";
         case 404:
             return "HTTP/1.1 404 Not Found\r\n";
+        case 408:
+            return "HTTP/1.1 408 Request Timeout\r\n";
+        case 409:
+            return "HTTP/1.1 409 Conflict\r\n";
         case 413:
             return "HTTP/1.1 413 Content Too Large\r\n";
         case 431:
@@ -34,16 +50,16 @@
 
 // While an answer is owed, a little is read ahead, which shows whether the consumer is still there.
 std::span<char> Session::space() {
-    if (!busy_ && !closing_) return parser_.room(buffer_);
-    if (!closing_ && buffer_.view().size() >= kAheadMost) return {};
+    if (!busy_) return parser_.room(buffer_);
+    if (buffer_.view().size() >= kAheadMost) return {};
     return buffer_.space(512);
 }
 
 void Session::on_bytes(std::size_t size) {
-    // A request that begins after a long idle time has not been stuck for that time.
-    if (!busy_ && !closing_ && buffer_.view().empty()) since_ = net::now();
+    // A request that begins after a long idle time has not been stuck for that time. On a new connection
+    // the time runs from its start.
+    if (asked_ && !busy_ && buffer_.view().empty()) since_ = net::now();
     buffer_.commit(size);
-    if (closing_) buffer_.clear();
     if (!busy_ && !closing_) read_next();
 }
 
@@ -57,6 +73,8 @@
             take();
         else if (step == http::Step::bad)
             reject(400, "malformed or ambiguous message");
+        else if (step == http::Step::no_room)
+            reject(503, "all consumers together send too much");
         else
             reject(step == http::Step::head_too_large ? 431 : 413, "message over the limits");
     }
@@ -67,20 +85,24 @@
     const double now = net::now();
     const http::Head& head = parser_.head();
     keep_alive_ = head.keep_alive && !host_.stopping();
-    busy_ = true;
+    busy_ = asked_ = true;
     since_ = now;
-    const std::string_view path = head.second.substr(0, head.second.find('?'));
-    const bool health = path == "/health/ready";
-    const bool known = health || host_.knows_class(first_part(head.second));
+    const bool health = head.second.substr(0, head.second.find('?')) == "/health/ready";
     auto invocation = std::make_shared<Invocation>();
-    const std::string_view fault = health || !known ? "" : read_invocation(head, now, *invocation);
+    if (!health) {
+        if (!find_class(host_.settings(), first_part(head.second))) return reject(404, "path");
+        const std::string_view fault = read_invocation(head, host_.settings(), now, *invocation);
+        if (!fault.empty()) return reject(400, fault);
+        // Guards against a second copy beside the one that is out, which no class but one may have.
+        if (host_.is_open(invocation->request_id)) return reject(409, "X-Request-Id of an open request");
+        if (head.first == "GET" && !parser_.body().empty()) return reject(400, "a body");
+    }
     invocation->body = parser_.body();
     const std::size_t used = parser_.used();
     parser_.reset();
-    if (!fault.empty()) return reject(400, fault);
     // The invocation keeps the bytes that its views point into; what lies behind it moves on.
     const std::string_view rest = buffer_.view().substr(used);
-    http::Buffer next;
+    http::Buffer next(&host_.budget());
     if (!rest.empty()) {
         const std::span<char> room = next.space(rest.size());
         rest.copy(room.data(), rest.size());
@@ -89,20 +111,17 @@
     invocation->bytes = std::move(buffer_);
     buffer_ = std::move(next);
     if (health) return answer({host_.ready() ? 200 : 503, 0, {}, {}});
-    if (!known) {
-        host_.on_bad_request(404, "path");
-        return answer({404, 0, {}, {}});
-    }
     const std::uint64_t number =
         host_.on_invocation(std::static_pointer_cast<Session>(shared_from_this()), std::move(invocation));
     if (busy_) number_ = number;
 }
 
-// Where one message ends is not known after a bad one, so the connection ends with it.
+// Where one message ends is not known after a bad one, and who sends one bad request sends more: the
+// connection ends with it.
 void Session::reject(int status, std::string_view why) {
     host_.on_bad_request(status, why);
     keep_alive_ = false;
-    answer({status, 0, {}, {}});
+    answer({status, status == 503 ? 1.0 : 0, {}, {}});
 }
 
 void Session::answer(const Answer& answer) {
@@ -127,7 +146,13 @@
     closing_ = !keep_alive_;
     since_ = net::now();
     if (!transport_->send(parts)) return end();
-    transport_->resume();
+    if (closing_) {
+        parser_.reset();
+        buffer_ = http::Buffer(&host_.budget());
+        transport_->drop(kDropMost);
+    } else {
+        transport_->resume();
+    }
     if (!transport_->unsent()) finish_answer();
 }
 
@@ -141,8 +166,27 @@
     read_next();
 }
 
-void Session::end_if_stuck(double now, double limit) {
-    if (!busy_ && !idle() && now - since_ > limit) end();
+double Session::expires_at(bool many) const {
+    if (busy_) return std::numeric_limits<double>::infinity();
+    if (closing_) return since_ + kLinger;
+    if (transport_->unsent()) return since_ + kUnread;
+    if (!buffer_.view().empty()) return since_ + kWhole;
+    return since_ + (!asked_ ? kSilent : many ? kIdleMany : kIdle);
+}
+
+void Session::expire() {
+    if (!busy_ && !closing_ && !buffer_.view().empty() && !transport_->unsent())
+        return reject(408, "not whole in time");
+    end();
+}
+
+int Session::spare_rank(double now) const {
+    const double age = now - since_;
+    if (busy_ || transport_->unsent()) return -1;
+    if (closing_) return age > kSpareLinger ? 0 : -1;
+    if (!buffer_.view().empty()) return age > kSpareHalf ? 2 : -1;
+    if (!asked_) return age > kSpareSilent ? 1 : -1;
+    return 3;
 }
 
 void Session::on_end(bool) { end(); }
--- a/src/consumer/session.hpp
+++ b/src/consumer/session.hpp
@@ -13,7 +13,9 @@
   public:
     virtual bool ready() const = 0;      // for the front
     virtual bool stopping() const = 0;   // connections are to end after their answer
-    virtual bool knows_class(std::string_view name) const = 0;
+    virtual const slatejunction::Settings& settings() const = 0;
+    virtual bool is_open(std::string_view request_id) const = 0;   // an invocation of that id
+    virtual http::Budget& budget() = 0;                            // of all consumers' bytes
     virtual void on_bad_request(int status, std::string_view why) = 0;
     virtual void on_accept_failed(const char* why) = 0;
     virtual void on_closed(Session& session) = 0;   // may forget the session
@@ -21,15 +23,20 @@
 
 class Session : public net::Protocol, public Consumer {
   public:
-    explicit Session(SessionHost& host) : host_(host), parser_(http::Parser::Kind::request) {}
+    explicit Session(SessionHost& host)
+        : host_(host), parser_(http::Parser::Kind::request), buffer_(&host.budget()) {}
     void attach(net::Transport& transport) { transport_ = &transport; }
 
     void answer(const Answer& answer) override;
     bool idle() const { return !busy_ && !closing_ && buffer_.view().empty() && !transport_->unsent(); }
     bool busy() const { return busy_; }
     double since() const { return since_; }   // when it last changed its state
-    // Ends it when it has stood in one state too long: a peer that neither sends nor reads what it began.
-    void end_if_stuck(double now, double limit);
+    // When its time is up in the state it is in: silent from the start, a request or an answer half
+    // through, idle, or ended but for the peer's part. Never while an answer is owed.
+    double expires_at(bool many = false) const;   // many: as there are many sessions
+    void expire();
+    // How soon a full house gives it up: 0 first; below 0 not at all.
+    int spare_rank(double now) const;
     void end();   // whatever it holds
 
     std::span<char> space() override;
@@ -49,7 +56,8 @@
     http::Buffer buffer_;
     std::uint64_t number_ = 0;
     double since_ = net::now();
-    bool busy_ = false;   // an answer is owed
+    bool asked_ = false;   // a whole request has come on it
+    bool busy_ = false;    // an answer is owed
     bool keep_alive_ = true;
     bool closing_ = false;   // its last answer is being written
     bool ended_ = false;
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -7,6 +7,8 @@
 namespace slatejunction::http {
 namespace {
 
+constexpr std::size_t kGrowLeast = 8 * 1024;
+
 char lowered(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c; }
 
 bool is_token(std::string_view text) {
@@ -41,16 +43,28 @@
 }
 
 std::span<char> Buffer::space(std::size_t least) {
-    if (capacity_ - size_ < least) {
-        const std::size_t wanted = std::max(size_ + least, std::max<std::size_t>(2 * capacity_, 2048));
-        auto bigger = std::make_unique_for_overwrite<char[]>(wanted);
-        if (size_ > 0) std::memcpy(bigger.get(), data_.get(), size_);
-        data_ = std::move(bigger);
-        capacity_ = wanted;
-    }
+    if (capacity_ - size_ < least)
+        *this = copy(std::max(size_ + least, std::max<std::size_t>(2 * capacity_, 2048)));
     return {data_.get() + size_, capacity_ - size_};
 }
 
+Buffer Buffer::copy(std::size_t capacity) const {
+    Buffer other(budget_);
+    other.data_ = std::make_unique_for_overwrite<char[]>(capacity);
+    other.capacity_ = capacity;
+    if (budget_) budget_->take(capacity);
+    if (size_ > 0) std::memcpy(other.data_.get(), data_.get(), size_);
+    other.size_ = size_;
+    return other;
+}
+
+void Buffer::swap(Buffer& other) noexcept {
+    std::swap(data_, other.data_);
+    std::swap(size_, other.size_);
+    std::swap(capacity_, other.capacity_);
+    std::swap(budget_, other.budget_);
+}
+
 void Buffer::drop_front(std::size_t n) {
     size_ -= n;
     if (size_ > 0) std::memmove(data_.get(), data_.get() + n, size_);
@@ -72,19 +86,38 @@
 
 void Parser::reset() {
     have_head_ = false;
-    scanned_ = body_at_ = body_size_ = used_ = chunk_at_ = 0;
-    body_ = {};
+    scanned_ = body_at_ = body_size_ = used_ = chunk_at_ = most_ = 0;
+    head_.first = head_.second = body_ = {};
+    head_.count = 0;
 }
 
 std::span<char> Parser::room(Buffer& buffer) const {
     return have_head_ ? buffer.space(0) : buffer.space(1024);
 }
 
-// Framing that takes more room than was made for it is as good as a body that is too large.
+// Guards against peers that promise more than they send: a Buffer grows as bytes come, not by the promise.
+// Framing that takes more room than there may be is as good as a body that is too large.
 Step Parser::feed(Buffer& buffer, bool ended) {
     const Step step = look(buffer, ended);
-    const bool full = have_head_ && buffer.view().size() == buffer.capacity();
-    return step == Step::more && full ? Step::body_too_large : step;
+    const std::size_t capacity = buffer.capacity();
+    if (step != Step::more || !have_head_ || buffer.view().size() < capacity) return step;
+    if (capacity >= most_) return Step::body_too_large;
+    const std::size_t wanted = std::min(most_, std::max(2 * capacity, kGrowLeast));
+    if (!buffer.may_hold(wanted)) return Step::no_room;
+    grow(buffer, wanted);
+    return step;
+}
+
+void Parser::grow(Buffer& buffer, std::size_t capacity) {
+    Buffer bigger = buffer.copy(capacity);
+    const char* from = buffer.data();
+    const auto move = [&](std::string_view& view) {
+        if (view.data()) view = {bigger.data() + (view.data() - from), view.size()};
+    };
+    move(head_.first);
+    move(head_.second);
+    for (std::size_t i = 0; i < head_.count; ++i) move(head_.fields[i].name), move(head_.fields[i].value);
+    buffer = std::move(bigger);
 }
 
 Step Parser::look(Buffer& buffer, bool ended) {
@@ -106,14 +139,7 @@
             reset();
             return look(buffer, ended);
         }
-        // The views of the head must stay valid while the body comes: all room it may need is made now.
-        std::size_t whole = body_at_;
-        if (framing_ == Framing::length) whole += body_size_;
-        if (framing_ == Framing::chunked || framing_ == Framing::until_end) whole += 2 * kBodyMost;
-        if (whole > buffer.capacity()) {
-            buffer.space(whole - buffer.view().size());
-            parse_head(buffer.view().substr(0, end + 2));
-        }
+        most_ = body_at_ + (framing_ == Framing::length ? body_size_ : 2 * kBodyMost);
         have_head_ = true;
         chunk_at_ = body_at_;
     }
@@ -150,15 +176,16 @@
         if (line.size() < one + 4 || !read_size(line.substr(one + 1, 3), 10, status)) return false;
         if (line.size() > one + 4 && line[one + 4] != ' ') return false;
         head_.status = static_cast<int>(status);
-        head_.keep_alive = version == "HTTP/1.1";
-        return status >= 100;
+        head_.keep_alive = head_.newest = version == "HTTP/1.1";
+        // 101 would begin another protocol, which nothing here asks for.
+        return status >= 100 && status != 101;
     }
     const std::size_t two = line.find(' ', one + 1);
     if (two == std::string_view::npos) return false;
     head_.first = line.substr(0, one);
     head_.second = line.substr(one + 1, two - one - 1);
     const std::string_view version = line.substr(two + 1);
-    head_.keep_alive = version == "HTTP/1.1";
+    head_.keep_alive = head_.newest = version == "HTTP/1.1";
     return is_token(head_.first) && head_.second.starts_with('/') &&
            std::all_of(head_.second.begin(), head_.second.end(),
                        [](unsigned char c) { return c > 0x20 && c < 0x7f; }) &&
@@ -206,7 +233,7 @@
         }
     }
     if (coding) {
-        if (!same_word(*coding, "chunked")) return Step::bad;
+        if (!same_word(*coding, "chunked") || !head_.newest) return Step::bad;
         framing_ = Framing::chunked;
     } else if (length) {
         if (length->size() > 18 || !read_size(*length, 10, body_size_)) return Step::bad;
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -14,9 +14,37 @@
 inline constexpr std::size_t kBodyMost = 64 * 1024;   // what the protocol allows a body
 inline constexpr std::size_t kFieldsMost = 48;
 
+// What many Buffers may hold together. Guards against peers that promise or send large bodies by hundreds.
+class Budget {
+  public:
+    explicit Budget(std::size_t most) : most_(most) {}
+    bool fits(std::size_t more) const { return used_ + more <= most_; }
+    void take(std::size_t size) { used_ += size; }
+    void give(std::size_t size) { used_ -= size; }
+    std::size_t used() const { return used_; }
+
+  private:
+    const std::size_t most_;
+    std::size_t used_ = 0;
+};
+
 // Bytes read and not used yet. Moving it keeps the views into it valid; growing it does not.
 class Buffer {
   public:
+    // What it holds counts in the budget, which has to live longer. Heads are small and always fit.
+    explicit Buffer(Budget* budget = nullptr) : budget_(budget) {}
+    Buffer(Buffer&& other) noexcept : budget_(other.budget_) { swap(other); }
+    Buffer& operator=(Buffer&& other) noexcept {
+        Buffer taken(std::move(other));
+        swap(taken);
+        return *this;
+    }
+    ~Buffer() {
+        if (budget_) budget_->give(capacity_);
+    }
+    bool may_hold(std::size_t size) const {
+        return size <= capacity_ || !budget_ || budget_->fits(size - capacity_);
+    }
     std::span<char> space(std::size_t least);   // free room at the end, grown if it is under `least`
     void commit(std::size_t n) { size_ += n; }
     std::string_view view() const { return {data_.get(), size_}; }
@@ -24,10 +52,13 @@
     std::size_t capacity() const { return capacity_; }
     void clear() { size_ = 0; }
     void drop_front(std::size_t n);
+    Buffer copy(std::size_t capacity) const;
 
   private:
+    void swap(Buffer& other) noexcept;
     std::unique_ptr<char[]> data_;
     std::size_t size_ = 0, capacity_ = 0;
+    Budget* budget_;
 };
 
 struct Field {
@@ -39,6 +70,7 @@
     std::string_view first, second;
     int status = 0;   // of a response
     bool keep_alive = true;
+    bool newest = true;   // HTTP/1.1, not 1.0
     std::array<Field, kFieldsMost> fields;
     std::size_t count = 0;
 
@@ -46,7 +78,8 @@
     const std::string_view* find(std::string_view lower, bool* repeated = nullptr) const;
 };
 
-enum class Step { more, done, bad, head_too_large, body_too_large };
+// no_room: well formed, but all Buffers together hold too much.
+enum class Step { more, done, bad, head_too_large, body_too_large, no_room };
 
 // One message after another out of one Buffer that begins with it.
 class Parser {
@@ -54,11 +87,13 @@
     enum class Kind { request, response };
     explicit Parser(Kind kind) : kind_(kind) {}
 
-    // Where the next bytes go. Once the head is known the Buffer does not grow, as the views point into it.
+    // Where the next bytes go. Once the head is known only feed() grows the Buffer, as views point into it.
     std::span<char> room(Buffer& buffer) const;
     // Looks at what has come. `ended`: no more will.
     Step feed(Buffer& buffer, bool ended = false);
     const Head& head() const { return head_; }
+    // A response whose head is read and says nothing of its length: its end can't be told from a cut.
+    bool unframed() const { return have_head_ && framing_ == Framing::until_end; }
     std::string_view body() const { return body_; }
     std::size_t used() const { return used_; }   // bytes of the Buffer that the message took
     void reset();
@@ -70,12 +105,14 @@
     bool parse_start(std::string_view line);
     Step parse_framing();
     Step feed_chunks(Buffer& buffer);
+    void grow(Buffer& buffer, std::size_t capacity);
 
     Kind kind_;
     Head head_;
     bool have_head_ = false;
     Framing framing_ = Framing::none;
     std::size_t scanned_ = 0, body_at_ = 0, body_size_ = 0, used_ = 0;
+    std::size_t most_ = 0;       // that the whole message may take
     std::size_t chunk_at_ = 0;   // next byte of chunked framing to look at
     std::string_view body_;
 };
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -9,8 +9,10 @@
 
 namespace {
 
-constexpr std::size_t kReserve = 32;       // descriptors: standard streams, listener, directory, GLib's own
-constexpr double kSweepEvery = 1.0;        // s
+constexpr std::size_t kReserve = 32;   // descriptors: standard streams, listener, directory, GLib's own
+constexpr double kSweepEvery = 0.2;    // s
+constexpr double kMemoryPart =
+    0.2;   // of the memory, for the bytes of consumers, and for those of providers
 constexpr double kStopSweepEvery = 0.05;   // s, while stopping
 // New connections come for some tenths of a second after the stop, and on those open more requests may.
 constexpr double kStillComing = 0.6;   // s after the stop in which idle connections are kept
@@ -21,6 +23,10 @@
     return {(config.sockets - kReserve) * 2 / 5, config.dial_timeout_s, config.keepalive_s};
 }
 
+std::size_t bytes_of(const config::Config& config) {
+    return static_cast<std::size_t>(kMemoryPart * config.memory_mb * 1024 * 1024);
+}
+
 }   // namespace
 
 struct Ingress::WatchLink : directory::Watch {
@@ -39,10 +45,12 @@
       log_(log),
       done_(std::move(done)),
       config_(std::move(config)),
+      consumer_bytes_(bytes_of(config_)),
+      provider_bytes_(bytes_of(config_)),
       module_timer_(timers_, [this] { timers_due(); }),
       sweep_timer_(timers_, [this] { sweep(); }),
       gateway_(config_.settings, config_.seed),
-      pool_(*this, timers_, limits_of(config_), config_.settings.report_fields),
+      pool_(*this, timers_, limits_of(config_), provider_bytes_, config_.settings.report_fields),
       server_(*this, timers_, config_.sockets - kReserve - limits_of(config_).connections),
       watch_(std::make_shared<WatchLink>(static_cast<directory::WatchHost&>(*this), timers_, clock,
                                          config_.directory)) {}
@@ -121,6 +129,7 @@
     open.number = number;
     open.id = std::to_string(number);
     open.invocation = std::move(invocation);
+    ids_.insert(open.invocation->request_id);
     open.consumer = std::move(consumer);
     const consumer::Invocation& i = *open.invocation;
     slatejunction::Request request;
@@ -145,11 +154,6 @@
     tell(slatejunction::ClientGone{id});
 }
 
-bool Ingress::knows_class(std::string_view name) const {
-    const auto& classes = config_.settings.classes;
-    return std::any_of(classes.begin(), classes.end(), [&](const auto& one) { return one.name == name; });
-}
-
 void Ingress::on_bad_request(int status, std::string_view why) {
     log_.write(Log::Level::warning, net::now(), "bad request: %d, %.*s", status,
                static_cast<int>(why.size()), why.data());
@@ -294,7 +298,9 @@
 
 void Ingress::forget_if_over(std::uint64_t number) {
     const auto at = open_.find(number);
-    if (at != open_.end() && !at->second.consumer && at->second.out == 0) open_.erase(at);
+    if (at == open_.end() || at->second.consumer || at->second.out > 0) return;
+    ids_.erase(at->second.invocation->request_id);
+    open_.erase(at);
 }
 
 }   // namespace slatejunction::ingress
--- a/src/ingress/ingress.hpp
+++ b/src/ingress/ingress.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <queue>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "config/config.hpp"
@@ -49,7 +50,9 @@
     void on_left(std::uint64_t number) override;
     bool ready() const override { return !stopping_; }
     bool stopping() const override { return stopping_; }
-    bool knows_class(std::string_view name) const override;
+    const slatejunction::Settings& settings() const override { return config_.settings; }
+    bool is_open(std::string_view request_id) const override { return ids_.contains(request_id); }
+    http::Budget& budget() override { return consumer_bytes_; }
     void on_bad_request(int status, std::string_view why) override;
     void on_accept_failed(const char* why) override;
     void on_closed(consumer::Session& session) override;
@@ -78,6 +81,7 @@
     Log& log_;
     std::function<void()> done_;
     config::Config config_;
+    http::Budget consumer_bytes_, provider_bytes_;   // live longer than all that holds bytes
     net::Timers timers_;
     net::Timer module_timer_, sweep_timer_;
     slatejunction::Gateway gateway_;
@@ -86,6 +90,7 @@
     bool telling_ = false;
     std::priority_queue<DueTimer, std::vector<DueTimer>, std::greater<>> due_;
     std::unordered_map<std::uint64_t, Open> open_;
+    std::unordered_set<std::string_view> ids_;   // the consumers' names of those open, in their bytes
     std::uint64_t numbers_ = 0;
     provider::Pool pool_;
     consumer::Server server_;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
@@ -21,6 +22,9 @@
 }
 
 namespace {
+
+constexpr std::size_t kDropAtOnce = 64 * 1024;
+
 void prepare(GSocket* socket) {
     g_socket_set_blocking(socket, FALSE);
     g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
@@ -65,6 +69,7 @@
 void Stream::watch(Source& source, GIOCondition condition, GSocketSourceFunc call) {
     source.reset(g_socket_create_source(socket_.get(), condition, nullptr));
     g_source_set_callback(source.get(), G_SOURCE_FUNC(call), this, nullptr);
+    if (dropping_) g_source_set_priority(source.get(), G_PRIORITY_DEFAULT_IDLE);
     attach(source.get());
 }
 
@@ -72,6 +77,24 @@
     if (socket_ && !in_ && !dialling_) watch(in_, G_IO_IN, &Stream::on_in);
 }
 
+// Guards against large bodies that nobody wants: they are read without being copied, when nothing else is
+// to be done, so that the peer gets to read what it was told, and up to a bound.
+void Stream::drop(std::size_t most) {
+    dropping_ = true;
+    drop_left_ = most;
+    if (socket_) watch(in_, G_IO_IN, &Stream::on_in);
+}
+
+gssize Stream::take_and_drop(GError** fault) {
+    std::array<char, kDropAtOnce> scratch;
+    GInputVector vector{scratch.data(), scratch.size()};
+    gint flags = MSG_TRUNC;
+    const gssize got = g_socket_receive_message(socket_.get(), nullptr, &vector, 1, nullptr, nullptr,
+                                                &flags, nullptr, fault);
+    if (got > 0) drop_left_ -= std::min(drop_left_, static_cast<std::size_t>(got));
+    return got;
+}
+
 void Stream::end(bool clean) {
     close();
     protocol_.on_end(clean);
@@ -94,12 +117,22 @@
 gboolean Stream::on_in(GSocket*, GIOCondition, gpointer self) {
     auto& stream = *static_cast<Stream*>(self);
     const auto keep = stream.protocol_.shared_from_this();
+    GError* fault = nullptr;
+    if (stream.dropping_) {
+        const gssize got = stream.take_and_drop(&fault);
+        const Error error(fault);
+        if (got == 0 || stream.drop_left_ == 0) {
+            stream.end(got == 0);
+        } else if (got < 0 && !g_error_matches(fault, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
+            stream.end(false);
+        }
+        return G_SOURCE_CONTINUE;
+    }
     const std::span<char> space = stream.protocol_.space();
     if (space.empty()) {   // until resume(): a level-triggered source would spin
         stream.in_.reset();
         return G_SOURCE_REMOVE;
     }
-    GError* fault = nullptr;
     const gssize got = g_socket_receive(stream.socket_.get(), space.data(), space.size(), nullptr, &fault);
     const Error error(fault);
     if (got > 0) {
@@ -137,7 +170,7 @@
     }
     stream.kept_from_ += written;
     if (stream.kept_from_ < stream.kept_.size()) return G_SOURCE_CONTINUE;
-    stream.kept_.clear();
+    stream.kept_ = {};   // an answer's room is not kept for an idle connection
     stream.kept_from_ = 0;
     stream.out_.reset();
     stream.protocol_.on_sent();
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -15,10 +15,11 @@
     virtual ~Transport() = default;
     // Takes all of the parts: what the connection has no room for is kept. False: the connection broke.
     virtual bool send(std::span<const std::string_view> parts) = 0;
-    virtual bool unsent() const = 0;   // is anything of it kept still?
-    virtual void resume() = 0;         // reads again after space() was empty
-    virtual void finish() = 0;         // ends its own sending; the peer may still send
-    virtual void close() = 0;          // no callback comes after it
+    virtual bool unsent() const = 0;           // is anything of it kept still?
+    virtual void resume() = 0;                 // reads again after space() was empty
+    virtual void finish() = 0;                 // ends its own sending; the peer may still send
+    virtual void drop(std::size_t most) = 0;   // from now on drops what comes; over `most` it breaks
+    virtual void close() = 0;                  // no callback comes after it
 };
 
 // A protocol as a state machine that is fed bytes.
@@ -46,12 +47,14 @@
     bool send(std::span<const std::string_view> parts) override;
     bool unsent() const override { return !kept_.empty(); }
     void finish() override;
+    void drop(std::size_t most) override;
     void close() override;
 
   private:
     static gboolean on_in(GSocket*, GIOCondition, gpointer self);
     static gboolean on_out(GSocket*, GIOCondition, gpointer self);
     void watch(Source& source, GIOCondition condition, GSocketSourceFunc call);
+    gssize take_and_drop(GError** fault);
     bool write(std::span<const std::string_view> parts, std::size_t& written);
     void end(bool clean);
 
@@ -61,6 +64,8 @@
     std::string kept_;
     std::size_t kept_from_ = 0;
     bool dialling_ = false;
+    bool dropping_ = false;
+    std::size_t drop_left_ = 0;
 };
 
 Address parse_address(std::string_view text);   // "127.0.0.1:8081"; empty when it is none
--- a/src/net/timers.cpp
+++ b/src/net/timers.cpp
@@ -4,6 +4,10 @@
 #include <cmath>
 
 namespace slatejunction::net {
+namespace {
+constexpr double kStoodStill = 0.02;   // s; timers that are later than that
+constexpr int kRounds = 2;             // of the loop, in which each socket that is ready is read once
+}   // namespace
 
 void Timer::arm(double due) {
     disarm();
@@ -49,14 +53,19 @@
         nullptr};
     source_.reset(g_source_new(&calls, sizeof(Wake)));
     reinterpret_cast<Wake*>(source_.get())->self = this;
-    // Behind the sockets: a program that stood still finds answers waiting, and they count before
-    // time-outs.
-    g_source_set_priority(source_.get(), G_PRIORITY_DEFAULT + 10);
     attach(source_.get());
 }
 
 void Timers::run() {
     const double time = now();
+    // Guards against judging time-outs before the answers that wait: a program that stood still looks at
+    // its sockets first. A lower priority would do that too, but a peer that sends without end would then
+    // stop all timers.
+    if (!queue_.empty() && time - queue_.begin()->first > kStoodStill && waited_ < kRounds) {
+        ++waited_;
+        return;
+    }
+    waited_ = 0;
     while (!queue_.empty() && queue_.begin()->first <= time) {
         Timer* timer = queue_.begin()->second;
         timer->disarm();
--- a/src/net/timers.hpp
+++ b/src/net/timers.hpp
@@ -44,6 +44,7 @@
     void run();
     std::multimap<double, Timer*> queue_;
     Source source_;
+    int waited_ = 0;
 };
 
 }   // namespace slatejunction::net
--- a/src/provider/connection.cpp
+++ b/src/provider/connection.cpp
@@ -11,14 +11,15 @@
 
 using slatejunction::Outcome;
 
-Connection::Connection(ConnectionHost& host, net::Timers& timers, std::string provider,
+Connection::Connection(ConnectionHost& host, net::Timers& timers, http::Budget& bytes, std::string provider,
                        std::string host_port, const std::vector<std::string>& report_fields)
     : host_(host),
       timer_(timers, [this] { overdue(); }),
       provider_(std::move(provider)),
       host_port_(std::move(host_port)),
       report_fields_(report_fields),
-      parser_(http::Parser::Kind::response) {}
+      parser_(http::Parser::Kind::response),
+      buffer_(&bytes) {}
 
 void Connection::begin(CallTag tag, std::shared_ptr<consumer::Invocation> invocation,
                        std::string_view probe_path, double until, double dial_until) {
@@ -104,7 +105,6 @@
     // then use it and need not open another. The views of the answer stay good in the bytes set aside.
     const auto keep = shared_from_this();
     http::Buffer answer = std::move(buffer_);
-    buffer_ = {};
     parser_.reset();
     const CallTag tag = tag_;
     settle(end);
--- a/src/provider/connection.hpp
+++ b/src/provider/connection.hpp
@@ -38,8 +38,8 @@
 
 class Connection : public net::Protocol {
   public:
-    Connection(ConnectionHost& host, net::Timers& timers, std::string provider, std::string host_port,
-               const std::vector<std::string>& report_fields);
+    Connection(ConnectionHost& host, net::Timers& timers, http::Budget& bytes, std::string provider,
+               std::string host_port, const std::vector<std::string>& report_fields);
     void attach(net::Transport& transport) { transport_ = &transport; }
 
     // Takes its call along from the start: it is written once the connection is up, unless it ends before.
--- a/src/provider/pool.cpp
+++ b/src/provider/pool.cpp
@@ -21,8 +21,13 @@
     net::Stream stream{*this};
 };
 
-Pool::Pool(CallHost& host, net::Timers& timers, PoolLimits limits, std::vector<std::string> report_fields)
-    : host_(host), timers_(timers), limits_(limits), report_fields_(std::move(report_fields)) {}
+Pool::Pool(CallHost& host, net::Timers& timers, PoolLimits limits, http::Budget& bytes,
+           std::vector<std::string> report_fields)
+    : host_(host),
+      timers_(timers),
+      limits_(limits),
+      bytes_(bytes),
+      report_fields_(std::move(report_fields)) {}
 
 void Pool::update(const directory::Listing& listing) {
     std::vector<std::string> before;
@@ -102,7 +107,7 @@
     failure = Outcome::moot;
     if (!make_room()) return nullptr;
     failure = Outcome::connect_failed;
-    auto linked = std::make_shared<Linked>(*this, timers_, id, provider.host_port, report_fields_);
+    auto linked = std::make_shared<Linked>(*this, timers_, bytes_, id, provider.host_port, report_fields_);
     connections_.emplace(linked.get(), linked);
     linked->begin(tag, std::move(invocation), probe_path, until, net::now() + limits_.dial_timeout_s);
     if (!linked->stream.dial(provider.address.get())) linked->on_end(false);
--- a/src/provider/pool.hpp
+++ b/src/provider/pool.hpp
@@ -27,7 +27,8 @@
 
 class Pool final : public ConnectionHost {
   public:
-    Pool(CallHost& host, net::Timers& timers, PoolLimits limits, std::vector<std::string> report_fields);
+    Pool(CallHost& host, net::Timers& timers, PoolLimits limits, http::Budget& bytes,
+         std::vector<std::string> report_fields);
 
     void update(const directory::Listing& listing);
     // Starts an invoker call. Empty when it ended at once: on_call_end has told how.
@@ -60,6 +61,7 @@
     CallHost& host_;
     net::Timers& timers_;
     const PoolLimits limits_;
+    http::Budget& bytes_;
     const std::vector<std::string> report_fields_;
     std::map<std::string, Provider> providers_;
     std::unordered_map<Connection*, std::shared_ptr<Linked>> connections_;
--- a/tests/ingress/parts_test.cpp
+++ b/tests/ingress/parts_test.cpp
@@ -88,15 +88,25 @@
     void on_left(std::uint64_t) override {}
     bool ready() const override { return true; }
     bool stopping() const override { return false; }
-    bool knows_class(std::string_view name) const override { return name == "risk-read"; }
+    const mp::Settings& settings() const override { return known; }
+    bool is_open(std::string_view) const override { return false; }
+    http::Budget& budget() override { return bytes; }
     void on_bad_request(int, std::string_view) override {}
     void on_accept_failed(const char*) override {}
     void on_closed(consumer::Session&) override { ended = true; }
-    bool send(std::span<const std::string_view>) override { return true; }
+    bool send(std::span<const std::string_view> parts) override {
+        sent.clear();
+        for (const std::string_view part : parts) sent += part;
+        return true;
+    }
     bool unsent() const override { return false; }
     void resume() override {}
     void finish() override {}
+    void drop(std::size_t) override {}
     void close() override {}
+    mp::Settings known;
+    http::Budget bytes{32 << 20};
+    std::string sent;   // last
     std::uint64_t taken = 0;
     bool ended = false;
 };
@@ -115,16 +125,92 @@
     Bench bench;
     const auto session = std::make_shared<consumer::Session>(bench);
     session->attach(bench);
-    const double made = session->since();
-    while (net::now() < made + 0.02) {
+    CHECK(session->expires_at() < session->since() + 3);   // silent from the start
+    feed(*session, "GET /health/ready HTTP/1.1\r\n\r\n");
+    const double idle = net::now();
+    CHECK(session->expires_at() > idle + 3);       // of use, and at rest
+    CHECK(session->expires_at(true) < idle + 3);   // and one of many
+    while (net::now() < idle + 0.02) {
     }
     feed(*session, "GET /risk-read?cust");
-    session->end_if_stuck(made + 10.01, 10);
+    CHECK(session->expires_at() > idle + 0.02 + 2);   // its own time, from its first byte
+    CHECK(session->expires_at() < net::now() + 3);
+    session->expire();
+    CHECK(bench.sent.starts_with("HTTP/1.1 408 "));
     CHECK(!bench.ended);
-    session->end_if_stuck(net::now() + 10.01, 10);   // but one that never goes on is
+    CHECK(session->expires_at() < net::now() + 6);
+    session->expire();
     CHECK(bench.ended);
 }
 
+// Guards against requests that the deployment can't mean: a provider that turns them away looks broken, and
+// the decisions on the customer that they name would move.
+TEST_CASE("values outside the protocol's form are named, and those at its edge pass") {
+    mp::Settings known = plain_settings();
+    known.plans = {{"plus", 1, 2}};
+    known.balancers = 4;
+    known.largest_units = 2;
+    known.classes[0].deadline_s = 4;
+    const auto fault = [&](std::string_view from, std::string_view to) {
+        std::string text =
+            "GET /read?customer=00000001ffffffff HTTP/1.1\r\nX-Request-Id: a1\r\nX-Class: read\r\n"
+            "X-Tier: plus\r\nX-Deadline: 4.000\r\nX-Call-Terms: units=2,spread=4,first=3\r\n\r\n";
+        text.replace(text.find(from), from.size(), to);
+        http::Buffer buffer;
+        text.copy(buffer.space(text.size()).data(), text.size());
+        buffer.commit(text.size());
+        http::Parser parser(http::Parser::Kind::request);
+        REQUIRE(parser.feed(buffer) == http::Step::done);
+        consumer::Invocation invocation;
+        return std::string(consumer::read_invocation(parser.head(), known, 0, invocation));
+    };
+    CHECK(fault("a1", "a1") == "");
+    CHECK(fault("GET", "POST") == "method");
+    CHECK(fault("plus", "minus") == "X-Tier");
+    for (const char* customer : {"0000000200000000", "ffffffffffffffff", "-000000000000001", "1",
+                                 "00000001ffffffff&customer=0000000000000001"})
+        CHECK(fault("00000001ffffffff", customer) == "customer");
+    for (const char* deadline : {"99999999999999999999999", "4.1", "-1", "nan", "inf", "soon", "1e400", ""})
+        CHECK(fault("4.000", deadline) == "X-Deadline");
+    for (const char* units : {"units=0", "units=2.1", "units=-1", "units=1e12", "units=nan",
+                              "units=", "units=x", "units=1,units=1", "more=1"})
+        CHECK(fault("units=2", units) == "X-Call-Terms");
+    for (const char* spread :
+         {"spread=0", "spread=5", "spread=70000", "spread=2.5", "spread=99999999999999999999"})
+        CHECK(fault("spread=4", spread) == "X-Call-Terms");
+    for (const char* first :
+         {"first=4", "first=-1", "first=2.5", "first=x", "first=99999999999999999999", "last=1"})
+        CHECK(fault("first=3", first) == "X-Call-Terms");
+}
+
+// Guards against memory held by what heads promise, and by many at once that send it.
+TEST_CASE("a body takes room as it comes, inside the budget of all") {
+    http::Budget budget(40 * 1024);
+    const auto step = [&](http::Buffer& buffer, http::Parser& parser, std::size_t body) {
+        std::string text = "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 60000\r\n\r\n";
+        text += std::string(body, 'x');
+        http::Step step = http::Step::more;
+        for (std::string_view rest = text; !rest.empty() && step == http::Step::more;) {
+            const auto room = parser.room(buffer);
+            const std::size_t size = rest.copy(room.data(), room.size());
+            buffer.commit(size);
+            rest.remove_prefix(size);
+            step = parser.feed(buffer);
+        }
+        return step;
+    };
+    {
+        http::Buffer one(&budget), two(&budget);
+        http::Parser first(http::Parser::Kind::request), second(http::Parser::Kind::request);
+        CHECK(step(one, first, 10000) == http::Step::more);
+        CHECK(budget.used() < 20000);
+        CHECK(first.head().fields[0].value == "close");   // the views moved along
+        CHECK(!first.head().keep_alive);
+        CHECK(step(two, second, 60000) == http::Step::no_room);
+    }
+    CHECK(budget.used() == 0);
+}
+
 // Guards against a quota spent on cheap tries while dear ones, which take as much of it, are refused.
 TEST_CASE("of a customer's surplus the dear class passes first, and no more in all") {
     const auto passed = [](double dear_worth) {
