Fail spoilt answers at once, take unreadable figures as absent, forget gone providers

Seen (same probe): noise of 1 to 11 bytes, heads padded without end, 'HTTP/1.1 OK 200', lengths that are never reached; the connection stays open, so the call waited until it was due. 140 answers 400 a node counted as failures of the providers. 1xx ahead and second copies came in one packet with the answer. Checked: no byte came on an idle connection in four logs, so reuse after an answer was not the cause of anything seen; the guard for a later packet stays and a connection that has rested 5 ms is preferred. At fault: Connection::on_bytes had no time limit once an answer had begun; parse_framing gave a 200 without length to until_end, whose end can't be told from a cut; read_fields kept 0 where from_chars failed and let nan and inf pass; Pool::update kept what went Gone in a change and let dials go on to an old address.

--- a/include/slatejunction/gateway.hpp
+++ b/include/slatejunction/gateway.hpp
@@ -136,9 +136,9 @@
     Outcome outcome = Outcome::ok;
     double took_s = 0;
     bool ended = false;
-    double quota_use = 0;   // 1 + percent of the rate used in the last metered period; 0: none
-    double charged = 0;     // true units where they are settled afterwards; 0: none
-    std::vector<double> report;
+    double quota_use = 0;         // 1 + percent of the rate used in the last metered period; 0: none
+    double charged = 0;           // true units where they are settled afterwards; 0: none
+    std::vector<double> report;   // by Settings::report_fields, NaN where one is absent; may be empty
 };
 
 // A streamed answer has begun: neither the attempt's time-out nor the deadline runs any more.
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -501,7 +501,8 @@
     void report(Server& s, const std::vector<double>& values, double now) {
         const auto told = [&](const char* name) {
             const auto at = fields_.find(name);
-            return at == fields_.end() || at->second >= values.size() ? -1.0 : sane(values[at->second]);
+            if (at == fields_.end() || at->second >= values.size()) return -1.0;
+            return std::isfinite(values[at->second]) ? sane(values[at->second]) : -1.0;   // NaN: absent
         };
         double held = told("rif");
         if (held < 0 && told("busy") >= 0)
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -172,10 +172,15 @@
     open.calls[static_cast<std::size_t>(tag.attempt)].reset();
     --open.out;
     if (end.outcome == Outcome::ok && open.consumer) answer(open, {200, 0, end.content_type, end.body});
+    // Guards against a provider that looks broken because a consumer sends what it can't use.
+    if (end.consumers_fault) {
+        on_bad_request(400, "a provider could not use it");
+        if (open.consumer) answer(open, {400, 0, {}, {}});
+    }
     slatejunction::AttemptEnd event;
     event.id = open.id;
     event.attempt = tag.attempt;
-    event.outcome = end.outcome;
+    event.outcome = end.consumers_fault ? Outcome::cancelled : end.outcome;
     event.took_s = end.took_s;
     event.ended = !open.consumer;
     event.quota_use = end.quota_use;
--- a/src/provider/connection.cpp
+++ b/src/provider/connection.cpp
@@ -5,9 +5,25 @@
 #include <charconv>
 #include <cmath>
 #include <cstdio>
+#include <limits>
 #include <utility>
 
 namespace slatejunction::provider {
+namespace {
+
+// s; from an answer's first byte to its last. Providers write an answer at once, so one that stops half way
+// is spoilt and no reason to wait until the request is due.
+constexpr double kAnswer = 0.5;
+constexpr std::size_t kKeepMost = 8 * 1024;   // bytes of room that an idle connection keeps
+
+// All of the text, finite and not below 0: anything else is absent, never a 0 that would be believed.
+bool read_figure(std::string_view text, double& value) {
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return !text.empty() && fault == std::errc() && end == text.data() + text.size() &&
+           std::isfinite(value) && value >= 0;
+}
+
+}   // namespace
 
 using slatejunction::Outcome;
 
@@ -29,7 +45,7 @@
     began_ = net::now();
     until_ = until;
     calling_ = true;
-    written_ = false;
+    written_ = answering_ = false;
     dialling_ = dial_until > 0;
     timer_.arm(dialling_ ? std::min(until, dial_until) : until);
 }
@@ -79,25 +95,36 @@
 void Connection::on_bytes(std::size_t size) {
     buffer_.commit(size);
     if (!calling_) return close();   // nothing was asked: what it means can't be told
-    take(parser_.feed(buffer_));
+    look(false);
+}
+
+void Connection::look(bool ended) {
+    const http::Step step = parser_.feed(buffer_, ended);
+    // Guards against a cut answer taken for a whole one: where a head tells no length, nothing tells a
+    // break from the end. The status alone is known, and the connection is of no further use.
+    if (step != http::Step::more || parser_.unframed()) return take(step, ended || parser_.unframed());
+    if (ended || buffer_.view().empty())
+        return;   // an interim answer alone: the real one is still to begin
+    if (!answering_) timer_.arm(std::min(until_, net::now() + kAnswer));
+    answering_ = true;
 }
 
 void Connection::take(http::Step step, bool ended) {
-    if (step == http::Step::more) return;
     CallEnd end;
     // Guards against answers that can't be read: an error that may have run, never a crash or a 200.
     end.outcome = Outcome::error;
     bool reusable = false;
-    if (step == http::Step::done) {
+    if (step == http::Step::done || parser_.unframed()) {
         const http::Head& head = parser_.head();
         read_fields(end);
-        if (head.status == 200) {
+        if (head.status == 200 && !parser_.unframed()) {
             end.outcome = Outcome::ok;
             end.body = parser_.body();
         } else if (head.status == 503 || head.status == 504) {
             const std::string_view* not_run = head.find("x-not-run");
             if (not_run && *not_run == "1") end.outcome = Outcome::full;
         }
+        end.consumers_fault = !probing() && head.status >= 400 && head.status < 500;
         reusable = head.keep_alive && !ended && written_ && !transport_->unsent() &&
                    parser_.used() == buffer_.view().size();
     }
@@ -115,7 +142,7 @@
         close();
     }
     host_.on_call_end(*this, tag, end);
-    if (buffer_.capacity() == 0) {
+    if (buffer_.capacity() == 0 && answer.capacity() <= kKeepMost) {
         answer.clear();
         buffer_ = std::move(answer);
     }
@@ -125,16 +152,14 @@
     const http::Head& head = parser_.head();
     if (const std::string_view* used = head.find("x-ratelimit-used")) {
         double percent = 0;
-        const auto [at, fault] = std::from_chars(used->data(), used->data() + used->size(), percent);
-        if (fault == std::errc() && at == used->data() + used->size() && percent >= 0)
-            end.quota_use = 1 + percent;   // the module's figure: 0 means none
+        if (read_figure(*used, percent)) end.quota_use = 1 + percent;   // the module's figure: 0 means none
     }
     if (const std::string_view* type = head.find("content-type")) end.content_type = *type;
     const std::string_view* load = head.find("x-load");
     std::string_view row = load ? *load : probing() ? parser_.body() : std::string_view();
     if (row.empty() || report_fields_.empty()) return;
     if (row.starts_with("X-Load:")) row.remove_prefix(7);
-    end.report.assign(report_fields_.size(), 0);
+    end.report.assign(report_fields_.size(), std::numeric_limits<double>::quiet_NaN());
     bool any = false;
     while (!row.empty()) {
         const std::size_t comma = std::min(row.find(','), row.size());
@@ -145,8 +170,9 @@
         if (mark == std::string_view::npos) continue;
         const auto field = std::find(report_fields_.begin(), report_fields_.end(), pair.substr(0, mark));
         if (field == report_fields_.end()) continue;
-        double& value = end.report[static_cast<std::size_t>(field - report_fields_.begin())];
-        std::from_chars(pair.data() + mark + 1, pair.data() + pair.size(), value);
+        double value = 0;
+        if (!read_figure(pair.substr(mark + 1), value)) continue;
+        end.report[static_cast<std::size_t>(field - report_fields_.begin())] = value;
         any = true;
     }
     if (!any) end.report.clear();
@@ -174,14 +200,16 @@
     host_.on_call_end(*this, tag_, end);
 }
 
-void Connection::overdue() { abandon(Outcome::timeout); }
+// A spoilt answer has run and may be tried elsewhere, which a silent provider's call may not.
+void Connection::overdue() {
+    abandon(answering_ && net::now() < until_ ? Outcome::error : Outcome::timeout);
+}
 
 void Connection::on_end(bool) {
     const auto keep = shared_from_this();
-    if (calling_ && written_) {   // an answer may end with its connection
-        const http::Step step = parser_.feed(buffer_, true);
-        if (step == http::Step::done) return take(step, true);
-    }
+    // Bytes that wait when the connection ends may be a whole answer; a part of one is a reset.
+    if (calling_ && written_) look(true);
+    if (!calling_) return close();
     CallEnd end;
     end.outcome = may_have_run() ? Outcome::reset : Outcome::connect_failed;
     give_up(end);
--- a/src/provider/connection.hpp
+++ b/src/provider/connection.hpp
@@ -21,8 +21,9 @@
 struct CallEnd {
     slatejunction::Outcome outcome = slatejunction::Outcome::reset;
     double took_s = 0;
-    double quota_use = 0;   // 1 + percent; 0: none
-    std::vector<double> report;
+    double quota_use = 0;           // 1 + percent; 0: none
+    std::vector<double> report;     // by the settings' fields, NaN where one is absent; empty: none
+    bool consumers_fault = false;   // the provider could not use the request: that tells nothing of it
     std::string_view content_type, body;
 };
 
@@ -66,7 +67,8 @@
   private:
     bool may_have_run() const { return written_ && !transport_->unsent(); }
     void overdue();
-    void take(http::Step step, bool ended = false);
+    void look(bool ended);
+    void take(http::Step step, bool ended);
     void settle(CallEnd& end);
     void give_up(CallEnd& end);
     void read_fields(CallEnd& end) const;
@@ -83,6 +85,7 @@
     std::string probe_path_;
     double began_ = 0, until_ = 0, free_since_ = 0;
     bool dialling_ = false, calling_ = false, written_ = false, closed_ = false;
+    bool answering_ = false;   // an answer has begun
 };
 
 }   // namespace slatejunction::provider
--- a/src/provider/pool.cpp
+++ b/src/provider/pool.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 constexpr double kIdlePart = 0.5;    // of the providers' keep-alive: a race with their close loses a call
+constexpr double kRest = 0.005;      // s; after an answer, in which what does not belong to it still comes
 constexpr double kProbeTime = 0.5;   // s; a probe that takes longer tells nothing
 }   // namespace
 
@@ -37,15 +38,18 @@
         const slatejunction::ListEntry& entry = listing.update.entries[i];
         std::erase(before, entry.server);
         if (entry.state != ServerState::in) {
-            if (const auto at = providers_.find(entry.server); at != providers_.end())
-                stop(at->first, at->second);
+            const auto at = providers_.find(entry.server);
+            if (at == providers_.end()) continue;
+            stop(at->first, at->second);
+            // Guards against growth: on a long day new providers under new ids replace the old ones.
+            if (entry.state == ServerState::out) providers_.erase(at);
             continue;
         }
         Provider& provider = providers_[entry.server];
+        // At another address it may be another machine: nothing that is idle or dialling there is of use.
+        if (provider.host_port != listing.addresses[i]) stop(entry.server, provider);
         provider.accepting = true;
         if (provider.host_port == listing.addresses[i]) continue;
-        for (const auto idle = std::move(provider.idle); const auto& connection : idle) connection->close();
-        provider.idle.clear();
         provider.host_port = listing.addresses[i];
         provider.address = net::parse_address(provider.host_port);
     }
@@ -68,9 +72,16 @@
 }
 
 std::shared_ptr<Connection> Pool::take_idle(Provider& provider) {
-    while (!provider.idle.empty()) {
-        const std::shared_ptr<Connection> connection = std::move(provider.idle.back());
-        provider.idle.pop_back();
+    auto& idle = provider.idle;
+    while (!idle.empty()) {
+        // The most recent that has rested, else the one that has rested longest: guards against a second
+        // copy or noise that follows an answer in a later packet and would be read as the next call's.
+        const double rested = net::now() - kRest;
+        auto at = std::find_if(idle.rbegin(), idle.rend(),
+                               [&](const auto& one) { return one->free_since() <= rested; });
+        if (at == idle.rend()) --at;
+        const std::shared_ptr<Connection> connection = std::move(*at);
+        idle.erase(std::next(at).base());
         // Guards against a connection that its provider has ended meanwhile: a call written to it would
         // count as one that may have run.
         if (!connections_.at(connection.get())->stream.readable()) return connection;
--- a/tests/ingress/parts_test.cpp
+++ b/tests/ingress/parts_test.cpp
@@ -8,6 +8,7 @@
 #include "config/config.hpp"
 #include "consumer/session.hpp"
 #include "net/glib.hpp"
+#include "provider/pool.hpp"
 
 using namespace slatejunction;
 
@@ -211,6 +212,85 @@
     CHECK(budget.used() == 0);
 }
 
+namespace {
+
+struct Calls : provider::ConnectionHost {
+    void on_call_end(provider::Connection&, provider::CallTag, const provider::CallEnd& end) override {
+        last = end;
+    }
+    void on_free(provider::Connection&) override {}
+    void on_closed(provider::Connection&) override {}
+    provider::CallEnd last;
+};
+
+}   // namespace
+
+// Guards against a figure that can't be read and is believed as 0.
+TEST_CASE("figures of a provider that can't be read are absent") {
+    const auto told = [](const std::string& fields) {
+        Bench transport;
+        Calls calls;
+        net::Timers timers;
+        const std::vector<std::string> names{"q", "lat_ms"};
+        const auto connection =
+            std::make_shared<provider::Connection>(calls, timers, transport.bytes, "s-1", "x:1", names);
+        connection->attach(transport);
+        connection->begin({}, std::make_shared<consumer::Invocation>(), {}, net::now() + 9, 0);
+        connection->write_call();
+        const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + fields + "\r\n\r\n";
+        text.copy(connection->space().data(), text.size());
+        connection->on_bytes(text.size());
+        CHECK(calls.last.outcome == mp::Outcome::ok);
+        return calls.last;
+    };
+    CHECK(told("X-RateLimit-Used: 12.5").quota_use == 13.5);
+    for (const char* used : {"nan", "inf", "-3", "12%", "%%%", "", "1e999", "0x10"})
+        CHECK(told("X-RateLimit-Used: " + std::string(used)).quota_use == 0);
+    const auto report = told("X-Load: q=3, lat_ms=4.5").report;
+    CHECK((report.size() == 2 && report[0] == 3 && report[1] == 4.5));
+    for (const char* load :
+         {"q=x,lat_ms=4.5", "q=nan,lat_ms=4.5", "q=-1,lat_ms=4.5", "q=1e,lat_ms=4.5", "lat_ms=4.5"}) {
+        const auto half = told("X-Load: " + std::string(load)).report;
+        CHECK((half.size() == 2 && std::isnan(half[0]) && half[1] == 4.5));
+    }
+    CHECK(told("X-Load: q=,lat_ms=inf").report.empty());
+}
+
+// Guards against memory that grows with every provider that has been: a long day replaces them all.
+TEST_CASE("a provider that is gone is forgotten, and one that moves takes no call to its old address") {
+    struct Host : provider::CallHost {
+        void on_call_end(const provider::CallTag&, const provider::CallEnd& end) override {
+            last = end.outcome;
+        }
+        void on_probe_end(const std::string&, const provider::CallEnd&) override {}
+        mp::Outcome last = mp::Outcome::ok;
+    } host;
+    net::Timers timers;
+    http::Budget bytes(1 << 20);
+    provider::Pool pool(host, timers, {8, 9, 30}, bytes, {});
+    const auto list = [&](const char* id, mp::ServerState state, const char* address) {
+        directory::Listing listing;
+        listing.update.entries.resize(1);
+        listing.update.entries[0].server = id;
+        listing.update.entries[0].state = state;
+        listing.addresses = {address};
+        pool.update(listing);
+    };
+    for (int i = 0; i < 100; ++i) {
+        list(std::to_string(i).c_str(), mp::ServerState::in, "127.0.0.1:1");
+        list(std::to_string(i).c_str(), mp::ServerState::out, "");
+    }
+    CHECK(pool.providers() == 0);
+    // No loop runs here to tell what becomes of the dial, so it is still out when the provider moves.
+    list("a", mp::ServerState::in, "127.0.0.1:1");
+    const auto call = pool.call("a", {}, std::make_shared<consumer::Invocation>(), net::now() + 9);
+    REQUIRE(call);
+    CHECK(pool.connections() == 1);
+    list("a", mp::ServerState::in, "127.0.0.1:2");
+    CHECK(host.last == mp::Outcome::connect_failed);
+    CHECK(pool.connections() == 0);
+}
+
 // Guards against a quota spent on cheap tries while dear ones, which take as much of it, are refused.
 TEST_CASE("of a customer's surplus the dear class passes first, and no more in all") {
     const auto passed = [](double dear_worth) {
