--- a/tests/ingress/parts_test.cpp
+++ b/tests/ingress/parts_test.cpp
@@ -375,3 +375,30 @@
     CHECK(dear["write"] > 2 * dear["read"]);
     CHECK(dear["write"] + dear["read"] < 1.2 * (even["write"] + even["read"]));
 }
+
+// Guards against a flood that empties a store several times over, as each of a customer's doors sees only
+// its part, and against doors that hold back what the meter has long told of.
+TEST_CASE("what one of four doors passes of a sudden flood leaves the others their part of the store") {
+    const auto passed = [](double doors, double gap) {
+        mp::Settings settings = plain_settings();
+        settings.meter_period_s = 2;
+        settings.plans = {{"plan", 2, 10}};
+        settings.plans[0].over_cost = 1;
+        std::size_t passed = 0;
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            Driver d(settings, seed);
+            d.list({"one"});
+            for (std::size_t i = 1; i <= 30; ++i) {
+                d.run_to(d.now + gap);
+                d.ask(std::to_string(i), "read", 5, 1, 1, doors);
+                if (d.pending.empty()) continue;
+                d.end(0, mp::Outcome::ok);
+                ++passed;
+            }
+        }
+        return static_cast<double>(passed) / 20;
+    };
+    CHECK(passed(4, 0.05) < 6.5);   // of a store of 10
+    CHECK(passed(1, 0.05) < 19);    // a door alone knows more, and no lag hides it for longer than it lasts
+    CHECK(passed(4, 2) == 30);      // inside the quota nothing is held back
+}
