--- a/tests/ingress/parts_test.cpp
+++ b/tests/ingress/parts_test.cpp
@@ -1,7 +1,11 @@
 // Parts that need no program running.
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 #include <cmath>
+#include <cstdlib>
 #include <ctime>
+#include <fstream>
 #include <map>
 
 #include "bench.hpp"
@@ -47,6 +51,30 @@
     CHECK(fault(start + R"({"Name":"r","AimS":1,"Effect":"pure","New":1}]},"new":{}})") == "none");
 }
 
+// Guards against a reload that the environment of the start undoes.
+TEST_CASE("a reload takes the directory from the file, and names its field") {
+    const auto load = [](const std::string& directory, config::Moment moment) {
+        char path[] = "/tmp/slatejunction-XXXXXX";
+        ::close(::mkstemp(path));
+        std::ofstream(path) << R"({"listen":"127.0.0.1:1","discovery":")" << directory
+                            << R"(","settings":{"Balancers":1,"Limits":{"AttemptsCap":3},"Services":[)"
+                            << R"({"Name":"r","AimS":1,"Effect":"pure"}]}})";
+        ::setenv("NODE_DISCOVERY", "127.0.0.1:2", 1);
+        std::string got;
+        try {
+            got = config::load(path, directory::UnixClock(), moment).directory;
+        } catch (const config::Bad& bad) {
+            got = bad.what();
+        }
+        ::unsetenv("NODE_DISCOVERY");
+        std::remove(path);
+        return got;
+    };
+    CHECK(load("127.0.0.1:3", config::Moment::start) == "127.0.0.1:2");
+    CHECK(load("127.0.0.1:3", config::Moment::reload) == "127.0.0.1:3");
+    CHECK(load("nowhere", config::Moment::reload) == "discovery is no address and port: 'nowhere'");
+}
+
 TEST_CASE("a provider's start reads the same each time, and long ago stays long ago") {
     const directory::UnixClock clock;
     CHECK(clock.monotonic(0) == 0);
@@ -104,11 +132,12 @@
     bool unsent() const override { return false; }
     void resume() override {}
     void finish() override {}
-    void drop(std::size_t) override {}
+    void drop(std::size_t most) override { dropping = most; }
     void close() override {}
     mp::Settings known;
     http::Budget bytes{32 << 20};
-    std::string sent;   // last
+    std::string sent;           // last
+    std::size_t dropping = 0;   // at most so much
     std::uint64_t taken = 0;
     bool ended = false;
 };
@@ -139,6 +168,7 @@
     CHECK(session->expires_at() < net::now() + 3);
     session->expire();
     CHECK(bench.sent.starts_with("HTTP/1.1 408 "));
+    CHECK((bench.dropping >= 60 << 20 && bench.dropping < 100 << 20));   // what still comes costs a bound
     CHECK(!bench.ended);
     CHECK(session->expires_at() < net::now() + 6);
     session->expire();
