--- a/include/slatejunction/gateway.hpp
+++ b/include/slatejunction/gateway.hpp
@@ -179,10 +179,22 @@
     std::string id;
     std::int64_t attempt = 0;
 };
+// Why a request was refused. The numbers are stable: they are kept in files and shown to operators.
+enum class Reason {
+    quota = 0,         // the pass share draw: its customer asks beyond the quota
+    ceiling = 1,       // a plan's hard ceiling, or its cap on attempts out
+    fraction = 2,      // the admitted fraction draw: the fleet is slow
+    open_work = 3,     // too much is open for the rate of answers
+    no_provider = 4,   // no server could take it
+    attempts = 5,      // its attempts came back without an answer, and none may follow
+    malformed = 6      // of an unknown class, or due before it came
+};
+
 // Final: certain that the request had no effect, or that its class may be repeated.
 struct Refuse {
     std::string id;
     double retry_after_s = 0;   // 0: no advice
+    Reason reason = Reason::malformed;
 };
 // Final: failed, with no word about its effect.
 struct Abort {
@@ -201,8 +213,12 @@
 struct Note {
     std::string text;
 };
+// The admitted fraction, 0.05 to 1, whenever it has changed; 1 until this is first said. Nothing to do.
+struct Admitted {
+    double fraction = 1;
+};
 
-using Action = std::variant<Send, CallOff, Refuse, Abort, SetTimer, Probe, Listen, Note>;
+using Action = std::variant<Send, CallOff, Refuse, Abort, SetTimer, Probe, Listen, Note, Admitted>;
 
 class Gateway {
   public:
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -657,8 +657,6 @@
     std::size_t open() const { return jobs_.size(); }
 
   private:
-    enum Guard { kByShare, kByCeiling, kByFraction, kByBound, kNoServer };
-
     void on(const Start&) {
         if (started_) return;
         started_ = true;
@@ -683,7 +681,8 @@
         const auto& plans = settings_.plans;
         const auto service = std::find_if(classes.begin(), classes.end(),
                                           [&](const auto& s) { return s.name == request.service_class; });
-        if (service == classes.end() || !(request.due_s > now_)) return act(Refuse{request.id, 0});
+        if (service == classes.end() || !(request.due_s > now_))
+            return act(Refuse{request.id, 0, Reason::malformed});
         static const Plan no_plan;
         const auto named =
             std::find_if(plans.begin(), plans.end(), [&](const auto& p) { return p.name == request.plan; });
@@ -693,15 +692,15 @@
         const double share = shares_.share(c, *plan, units, request.repeat);
         c.ceiling.refill(now_, start_, *plan, c.doors);
         if (!shares_.draw(c, share, sane(service->worth) / top_worth_, random_))
-            return refuse(kByShare, request, kSurplusStay * service->aim_s);
+            return refuse(Reason::quota, request, kSurplusStay * service->aim_s);
         if ((plan->ceiling_rate > 0 && !c.ceiling.holds(units)) ||
             (plan->max_out > 0 && c.out >= plan->max_out))
-            return refuse(kByCeiling, request, kSurplusStay * service->aim_s);
+            return refuse(Reason::ceiling, request, kSurplusStay * service->aim_s);
         if (random_.unit() >= load_.fraction())
-            return refuse(kByFraction, request, kPressedStay * service->aim_s);
+            return refuse(Reason::fraction, request, kPressedStay * service->aim_s);
         const double fleet = static_cast<double>(servers_.usable());
         if (load_.swamped(open_, open_aims_, fleet / std::max(1.0, sane(settings_.balancers)), now_))
-            return refuse(kByBound, request, kPressedStay * service->aim_s);
+            return refuse(Reason::open_work, request, kPressedStay * service->aim_s);
 
         Job job;
         job.number = ++numbers_;
@@ -710,7 +709,7 @@
         job.plan = plan;
         job.kind = static_cast<std::size_t>((named - plans.begin()) * std::ssize(classes) +
                                             (service - classes.begin()));
-        if (!send(job)) return refuse(kNoServer, request, kPressedStay * service->aim_s);
+        if (!send(job)) return refuse(Reason::no_provider, request, kPressedStay * service->aim_s);
         shares_.sent(c, units);
         if (plan->ceiling_rate > 0) c.ceiling.draw(units);
         retries_ = retries_ * std::exp(-(now_ - retries_at_) / kRetryTime) + kRetryTokens;
@@ -734,11 +733,12 @@
         told_ = now_;
     }
 
-    void refuse(Guard guard, const Request& r, double stay) { ++refused_[guard], refuse(r.id, stay); }
-    void refuse(const std::string& id, double stay) {
+    void refuse(Reason reason, const Request& r, double stay) {
+        if (static_cast<std::size_t>(reason) < refused_.size())
+            ++refused_[static_cast<std::size_t>(reason)];
         // Advised even where the site says that clients aren't told: one that is comes back when it helps.
         const double top = sane(settings_.max_retry_after_s);
-        act(Refuse{id, top > 0 ? std::min(stay, top) : stay});
+        act(Refuse{r.id, top > 0 ? std::min(stay, top) : stay, reason});
     }
 
     bool spent(const Job& job) const {
@@ -842,7 +842,7 @@
         const bool may_refuse = job.service->effect == Effect::pure || !job.first_run() ||
                                 (job.service->effect == Effect::token && job.service->group == Group::all);
         if (may_refuse)
-            refuse(job.request.id, kPressedStay * job.service->aim_s);
+            refuse(Reason::attempts, job.request, kPressedStay * job.service->aim_s);
         else
             act(Abort{job.request.id});
         finish(job);
@@ -923,6 +923,7 @@
                 }
             }
             load_.close(now_);
+            if (load_.fraction() != admitted_) act(Admitted{admitted_ = load_.fraction()});
         }
         if (now_ - told_ > kTellEvery) tell();
         if (now_ - swept_ > 10) swept_ = now_, shares_.sweep(now_);
@@ -945,7 +946,8 @@
     double now_ = 0, start_ = 0, asked_ = 0;
     double relisten_ = 1e18;
     double swept_ = 0, told_ = 0, resumed_ = -1e18;
-    std::array<int, 5> refused_{};   // by guard, since the last log line
+    double admitted_ = 1;            // as it was last said
+    std::array<int, 5> refused_{};   // by the first reasons, since the last log line
     double retries_ = kRetryFirst;
     double retries_at_ = 0;
     double top_worth_ = 1e-9;           // of the dearest class
--- a/src/directory/watch.cpp
+++ b/src/directory/watch.cpp
@@ -82,6 +82,7 @@
     if (older(listing)) return fail("a list older than the one in force was left out");
     const bool reusable = parser_.head().keep_alive && parser_.used() == buffer_.view().size();
     revision_ = newest_ = listing.revision;
+    heard_at_ = net::now();
     failures_ = 0;
     parser_.reset();
     buffer_.clear();
--- a/src/directory/watch.hpp
+++ b/src/directory/watch.hpp
@@ -28,6 +28,7 @@
     void start(std::optional<std::int64_t> known_revision);
     std::optional<std::int64_t> newest() const { return newest_; }   // of the lists taken
     void ask_soon();                                                 // a call now, unless one is out
+    double heard_at() const { return heard_at_; }   // s, net::now(): the last whole answer; 0: none yet
 
     void on_open() override;
     std::span<char> space() override { return parser_.room(buffer_); }
@@ -57,6 +58,7 @@
     std::optional<std::int64_t> newest_;
     double older_since_ = 0;   // since when the directory has told nothing but older lists; 0: it has not
     int failures_ = 0;
+    double heard_at_ = 0;
     enum class State { waiting, dialling, asking } state_ = State::waiting;
 };
 
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -22,6 +22,7 @@
     void take(std::size_t size) { used_ += size; }
     void give(std::size_t size) { used_ -= size; }
     std::size_t used() const { return used_; }
+    std::size_t most() const { return most_; }
 
   private:
     const std::size_t most_;
@@ -92,6 +93,7 @@
     // Looks at what has come. `ended`: no more will.
     Step feed(Buffer& buffer, bool ended = false);
     const Head& head() const { return head_; }
+    bool has_head() const { return have_head_; }   // its body may still be coming
     // A response whose head is read and says nothing of its length: its end can't be told from a cut.
     bool unframed() const { return have_head_ && framing_ == Framing::until_end; }
     std::string_view body() const { return body_; }
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -1,7 +1,9 @@
 #include "ingress/ingress.hpp"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
+#include <utility>
 
 namespace slatejunction::ingress {
 
@@ -19,6 +21,11 @@
 constexpr double kQuiet = 0.15;        // s without use before one ends after that
 constexpr double kNearDue = 0.05;      // s; an abort so near to the due time is a time-out
 
+// Reasons by the module's numbers, and this program's own: max_open.
+constexpr std::array<std::string_view, 7> kReasons{"quota",       "ceiling",  "fraction", "open_work",
+                                                   "no_provider", "attempts", "malformed"};
+constexpr std::pair<std::size_t, std::string_view> kOpenLimit{7, "open_limit"};
+
 provider::PoolLimits limits_of(const config::Config& config) {
     return {(config.sockets - kReserve) * 2 / 5, config.dial_timeout_s, config.keepalive_s};
 }
@@ -40,10 +47,11 @@
 };
 
 Ingress::Ingress(config::Config config, const directory::UnixClock& clock, Log& log,
-                 std::function<void()> done)
+                 std::function<void()> done, Observer* observer)
     : clock_(clock),
       log_(log),
       done_(std::move(done)),
+      observer_(observer),
       config_(std::move(config)),
       consumer_bytes_(bytes_of(config_)),
       provider_bytes_(bytes_of(config_)),
@@ -103,6 +111,7 @@
 
 void Ingress::sweep() {
     const double now = net::now();
+    log_.drain();
     server_.sweep(now);
     pool_.sweep(now);
     if (stopping_ && now - stopped_at_ > kStillComing) {
@@ -122,6 +131,14 @@
                                      std::shared_ptr<consumer::Invocation> invocation) {
     if (config_.max_open > 0 && open_.size() >= config_.max_open) {
         consumer->answer({503, config_.settings.max_retry_after_s, {}, {}});
+        if (observer_)
+            observer_->on_finish({*invocation,
+                                  Finish::How::refused,
+                                  kOpenLimit.second,
+                                  kOpenLimit.first,
+                                  {},
+                                  0,
+                                  net::now() - invocation->arrived});
         return 0;
     }
     const std::uint64_t number = ++numbers_;
@@ -148,6 +165,7 @@
 void Ingress::on_left(std::uint64_t number) {
     const auto at = open_.find(number);
     if (at == open_.end() || !at->second.consumer) return;
+    if (observer_) observe(at->second, Finish::How::failed, "left");
     at->second.consumer.reset();
     const std::string id = at->second.id;
     forget_if_over(number);
@@ -155,6 +173,7 @@
 }
 
 void Ingress::on_bad_request(int status, std::string_view why) {
+    if (observer_) observer_->on_bad();
     log_.write(Log::Level::warning, net::now(), "bad request: %d, %.*s", status,
                static_cast<int>(why.size()), why.data());
 }
@@ -171,11 +190,21 @@
     Open& open = at->second;
     open.calls[static_cast<std::size_t>(tag.attempt)].reset();
     --open.out;
-    if (end.outcome == Outcome::ok && open.consumer) answer(open, {200, 0, end.content_type, end.body});
+    if (observer_) {
+        observer_->on_attempt(end.outcome);
+        if (end.quota_use > 0) observer_->on_quota_report();
+    }
+    if (end.outcome == Outcome::ok && open.consumer) {
+        if (observer_) observe(open, Finish::How::served, "");
+        answer(open, {200, 0, end.content_type, end.body});
+    }
     // Guards against a provider that looks broken because a consumer sends what it can't use.
     if (end.consumers_fault) {
         on_bad_request(400, "a provider could not use it");
-        if (open.consumer) answer(open, {400, 0, {}, {}});
+        if (open.consumer) {
+            if (observer_) observe(open, Finish::How::failed, "turned_down");
+            answer(open, {400, 0, {}, {}});
+        }
     }
     slatejunction::AttemptEnd event;
     event.id = open.id;
@@ -253,6 +282,7 @@
     const double until = send.allow_s > 0 ? std::min(due, now + send.allow_s) : due;
     open->calls.emplace_back();
     ++open->out;
+    if (observer_) open->provider = send.server;
     const auto call = pool_.call(send.server, tag, open->invocation, until);
     if (call) open->calls[static_cast<std::size_t>(tag.attempt)] = call;
 }
@@ -267,7 +297,11 @@
 
 void Ingress::carry_out(const slatejunction::Refuse& refuse) {
     Open* open = find(refuse.id);
-    if (open && open->consumer) answer(*open, {503, refuse.retry_after_s, {}, {}});
+    if (open && open->consumer) {
+        const auto number = static_cast<std::size_t>(refuse.reason);
+        if (observer_) observe(*open, Finish::How::refused, kReasons[number], number);
+        answer(*open, {503, refuse.retry_after_s, {}, {}});
+    }
     if (open) forget_if_over(open->number);
 }
 
@@ -275,7 +309,10 @@
     Open* open = find(abort.id);
     if (!open) return;
     const bool late = open->invocation->due - net::now() < kNearDue;
-    if (open->consumer) answer(*open, {late ? 504 : 502, 0, {}, {}});
+    if (open->consumer) {
+        if (observer_) observe(*open, Finish::How::failed, late ? "due" : "lost");
+        answer(*open, {late ? 504 : 502, 0, {}, {}});
+    }
     forget_if_over(open->number);
 }
 
@@ -296,6 +333,34 @@
     log_.write(Log::Level::info, net::now(), "module: %s", note.text.c_str());
 }
 
+void Ingress::carry_out(const slatejunction::Admitted& admitted) {
+    if (observer_) observer_->on_admitted(admitted.fraction);
+}
+
+// Before the answer is given, so that what was answered has been counted even if the program is killed.
+void Ingress::observe(const Open& open, Finish::How how, std::string_view reason, std::size_t refusal) {
+    observer_->on_finish({*open.invocation, how, reason, refusal, open.provider, open.calls.size(),
+                          net::now() - open.invocation->arrived});
+}
+
+Gauges Ingress::gauges() const {
+    Gauges now;
+    now.open = open_.size();
+    now.consumers = server_.sessions();
+    now.calls = pool_.connections();
+    now.ready = pool_.ready();
+    now.draining = pool_.providers() - now.ready;
+    now.consumer_bytes = consumer_bytes_.used();
+    now.provider_bytes = provider_bytes_.used();
+    now.consumer_budget = consumer_bytes_.most();
+    now.provider_budget = provider_bytes_.most();
+    now.descriptors = now.consumers + now.calls + kReserve;
+    now.descriptors_limit = config_.sockets;
+    now.memory_limit_bytes = config_.memory_mb * 1024 * 1024;
+    now.directory_heard_at = watch_->heard_at();
+    return now;
+}
+
 void Ingress::answer(Open& open, const consumer::Answer& answer) {
     const auto consumer = std::move(open.consumer);
     open.consumer.reset();
--- a/src/ingress/ingress.hpp
+++ b/src/ingress/ingress.hpp
@@ -12,6 +12,7 @@
 #include "config/config.hpp"
 #include "consumer/server.hpp"
 #include "directory/watch.hpp"
+#include "ingress/observer.hpp"
 #include "log/log.hpp"
 #include "provider/pool.hpp"
 #include "slatejunction/gateway.hpp"
@@ -20,13 +21,16 @@
 
 class Ingress final : consumer::SessionHost, provider::CallHost, directory::WatchHost {
   public:
-    Ingress(config::Config config, const directory::UnixClock& clock, Log& log, std::function<void()> done);
+    // `observer`: empty where nobody counts; else it lives longer.
+    Ingress(config::Config config, const directory::UnixClock& clock, Log& log, std::function<void()> done,
+            Observer* observer = nullptr);
     ~Ingress();
     bool start(std::string& why);
     void stop();   // finishes what was taken, then calls `done`
     // Takes a new configuration: moves the watch to where it says that the directory is. What it changes
     // beside that is named in the log and waits for the next start.
     void reload(const config::Config& fresh);
+    Gauges gauges() const;
 
   private:
     // An invocation from its arrival until the last of its calls has come back.
@@ -37,6 +41,7 @@
         std::shared_ptr<consumer::Consumer> consumer;               // empty once it is answered
         std::vector<std::shared_ptr<provider::Connection>> calls;   // by attempt; empty once ended
         int out = 0;
+        std::string provider;   // the last one called, where somebody records it
     };
     struct DueTimer {
         double due;
@@ -72,7 +77,9 @@
     void carry_out(const slatejunction::Listen& listen);
     void carry_out(const slatejunction::Note& note);
     Open* find(const std::string& id);
+    void carry_out(const slatejunction::Admitted& admitted);
     void answer(Open& open, const consumer::Answer& answer);
+    void observe(const Open& open, Finish::How how, std::string_view reason, std::size_t refusal = 0);
     void forget_if_over(std::uint64_t number);
     void timers_due();
     void sweep();
@@ -80,6 +87,7 @@
     const directory::UnixClock& clock_;
     Log& log_;
     std::function<void()> done_;
+    Observer* const observer_;
     config::Config config_;
     http::Budget consumer_bytes_, provider_bytes_;   // live longer than all that holds bytes
     net::Timers timers_;
--- /dev/null
+++ b/src/ini/ini.cpp
@@ -0,0 +1,191 @@
+#include "ini/ini.hpp"
+
+#include <ini.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace slatejunction::ini {
+namespace {
+
+constexpr std::size_t kLineMost = 190;   // bytes; the library cuts lines at 200 and reads on behind the cut
+
+template <class T>
+bool read_number(const std::string& text, T& value) {
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return !text.empty() && fault == std::errc() && end == text.data() + text.size();
+}
+
+std::string plain(double value) {
+    std::ostringstream text;
+    text << value;
+    return text.str();
+}
+
+std::string trimmed(std::string text) {
+    const auto blank = [](char c) { return c == ' ' || c == '\t'; };
+    while (!text.empty() && blank(text.back())) text.pop_back();
+    text.erase(text.begin(), std::find_if_not(text.begin(), text.end(), blank));
+    return text;
+}
+
+struct Reading {
+    const std::string& path;
+    const std::vector<Section*>& sections;
+    std::vector<std::string> faults;
+    std::set<std::pair<std::string, std::string>> seen;
+    std::set<std::string> unknown;   // sections that were told already
+    std::set<std::string> named;
+
+    void fault(const std::string& section, const std::string& key, const std::string& why) {
+        faults.push_back(path + ": [" + section + "]" + (key.empty() ? "" : " " + key) + ": " + why);
+    }
+    void take(const std::string& section, const std::string& key, const std::string& value) {
+        const auto at = std::find_if(sections.begin(), sections.end(),
+                                     [&](const Section* one) { return one->name() == section; });
+        if (at == sections.end()) {
+            if (unknown.insert(section).second) fault(section, "", "unknown section");
+            return;
+        }
+        named.insert(section);
+        const auto& keys = (*at)->keys();
+        const auto one =
+            std::find_if(keys.begin(), keys.end(), [&](const Key& each) { return each.name == key; });
+        if (one == keys.end()) return fault(section, key, "unknown key");
+        if (!seen.emplace(section, key).second) return fault(section, key, "given twice");
+        if (const std::string why = one->take(value); !why.empty()) fault(section, key, why);
+    }
+};
+
+int on_pair(void* data, const char* section, const char* name, const char* value) {
+    static_cast<Reading*>(data)->take(section, name ? name : "", value ? value : "");
+    return 1;
+}
+
+}   // namespace
+
+void Section::text(std::string key, std::string& value, std::string help,
+                   std::function<std::string(const std::string&)> check) {
+    keys_.push_back({std::move(key), "", std::move(help), value,
+                     [&value, check = std::move(check)](const std::string& text) {
+                         if (std::string why = check ? check(text) : std::string(); !why.empty())
+                             return why;
+                         value = text;
+                         return std::string();
+                     }});
+}
+
+void Section::integer(std::string key, std::int64_t& value, std::int64_t least, std::int64_t most,
+                      std::string unit, std::string help) {
+    keys_.push_back({std::move(key), std::move(unit), std::move(help), std::to_string(value),
+                     [&value, least, most](const std::string& text) {
+                         std::int64_t given = 0;
+                         if (!read_number(text, given)) return "not a whole number: '" + text + "'";
+                         if (given < least || given > most)
+                             return "not from " + std::to_string(least) + " to " + std::to_string(most) +
+                                    ": " + text;
+                         value = given;
+                         return std::string();
+                     }});
+}
+
+void Section::real(std::string key, double& value, double least, double most, std::string unit,
+                   std::string help) {
+    keys_.push_back({std::move(key), std::move(unit), std::move(help), plain(value),
+                     [&value, least, most](const std::string& text) {
+                         double given = 0;
+                         if (!read_number(text, given) || !std::isfinite(given))
+                             return "not a number: '" + text + "'";
+                         if (given < least || given > most)
+                             return "not from " + plain(least) + " to " + plain(most) + ": " + text;
+                         value = given;
+                         return std::string();
+                     }});
+}
+
+void Section::choice(std::string key, int& value, std::vector<std::string> words, std::string help) {
+    std::string all;
+    for (const std::string& word : words) all += (all.empty() ? "" : " | ") + word;
+    const std::string standard = words[static_cast<std::size_t>(value)];
+    keys_.push_back({std::move(key), all, std::move(help), standard,
+                     [&value, words = std::move(words), all](const std::string& text) {
+                         const auto at = std::find(words.begin(), words.end(), text);
+                         if (at == words.end()) return "'" + text + "' is none of " + all;
+                         value = static_cast<int>(at - words.begin());
+                         return std::string();
+                     }});
+}
+
+void Section::pairs(std::string key, std::vector<std::pair<std::string, std::string>>& value,
+                    std::string help, std::function<std::string(const std::string&)> check) {
+    std::string standard;
+    for (const auto& [name, one] : value) standard += (standard.empty() ? "" : ", ") + name + "=" + one;
+    keys_.push_back({std::move(key), "NAME=VALUE, ...", std::move(help), standard,
+                     [&value, check = std::move(check)](const std::string& text) -> std::string {
+                         std::vector<std::pair<std::string, std::string>> given;
+                         std::istringstream rest(text);
+                         for (std::string one; std::getline(rest, one, ',');) {
+                             const std::size_t mark = one.find('=');
+                             if (mark == std::string::npos)
+                                 return "'" + trimmed(one) + "' is not NAME=VALUE";
+                             const std::string name = trimmed(one.substr(0, mark));
+                             if (std::string why = check ? check(name) : std::string(); !why.empty())
+                                 return why;
+                             if (std::any_of(given.begin(), given.end(),
+                                             [&](const auto& each) { return each.first == name; }))
+                                 return "'" + name + "' twice";
+                             given.emplace_back(name, trimmed(one.substr(mark + 1)));
+                         }
+                         value = std::move(given);
+                         return "";
+                     }});
+}
+
+std::vector<std::string> read(const std::string& path, const std::vector<Section*>& sections) {
+    Reading reading{path, sections, {}, {}, {}, {}};
+    std::ifstream in(path, std::ios::binary);
+    std::stringstream bytes;
+    bytes << in.rdbuf();
+    if (!in) return {path + ": can't be read"};
+    const std::string text = bytes.str();
+    std::istringstream lines(text);
+    std::string line;
+    for (int number = 1; std::getline(lines, line); ++number) {
+        const std::string where = path + ": line " + std::to_string(number) + ": ";
+        if (line.size() > kLineMost) reading.faults.push_back(where + "over 190 bytes");
+        if (line.find('\0') != std::string::npos) reading.faults.push_back(where + "a NUL byte");
+        // The library would take an indented line for more of the value before it.
+        if (!line.empty() && (line[0] == ' ' || line[0] == '\t') && !trimmed(line).empty())
+            reading.faults.push_back(where + "indented");
+    }
+    if (!reading.faults.empty()) return reading.faults;
+    if (const int number = ini_parse_string(text.c_str(), on_pair, &reading); number != 0)
+        reading.faults.push_back(path + ": line " + std::to_string(number) +
+                                 ": neither [section] nor key = value");
+    if (reading.faults.empty())
+        for (const Section* section : sections)
+            if (const std::string why = section->check_whole(); !why.empty()) {
+                const std::size_t mark = why.find(": ");
+                reading.fault(section->name(), why.substr(0, mark), why.substr(mark + 2));
+            }
+    return reading.faults;
+}
+
+std::string sample(const std::vector<Section*>& sections) {
+    std::string text;
+    for (const Section* section : sections) {
+        text += (text.empty() ? "" : "\n") + std::string("# ") + section->help() + "\n[" + section->name() +
+                "]\n";
+        for (const Key& key : section->keys()) {
+            text += "# " + key.help + (key.unit.empty() ? "" : " (" + key.unit + ")") + "\n";
+            text += "# " + key.name + " =" + (key.standard.empty() ? "" : " ") + key.standard + "\n";
+        }
+    }
+    return text;
+}
+
+}   // namespace slatejunction::ini
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -1,22 +1,199 @@
 #include "log/log.hpp"
 
+#include <glib.h>
+#include <poll.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/pattern_formatter.h>
+#include <spdlog/sinks/base_sink.h>
+#include <spdlog/spdlog.h>
+#include <unistd.h>
+
 #include <algorithm>
+#include <cerrno>
+#include <chrono>
 #include <cstdarg>
 #include <cstdio>
+#include <string>
 
 namespace slatejunction {
+namespace {
+
+// A pipe that polls as writable takes this much without waiting (POSIX: PIPE_BUF).
+constexpr std::size_t kAtOnce = 4096;
+
+const char* name_of(Log::Level level) {
+    return level == Log::Level::info ? "info" : level == Log::Level::warning ? "warning" : "error";
+}
+
+spdlog::level::level_enum level_of(Log::Level level) {
+    return level == Log::Level::info      ? spdlog::level::info
+           : level == Log::Level::warning ? spdlog::level::warn
+                                          : spdlog::level::err;
+}
+
+using Json = rapidjson::Writer<rapidjson::StringBuffer>;
+
+void put_text(Json& json, const char* key, std::string_view text) {
+    json.Key(key);
+    // Consumers may send any bytes; JSON may not hold all of them.
+    const std::unique_ptr<char, decltype(&g_free)> valid(
+        g_utf8_make_valid(text.data(), static_cast<gssize>(text.size())), &g_free);
+    json.String(valid.get());
+}
+
+// Words stay as they are; what holds blanks, quotes or bytes that are no text is quoted and escaped.
+void put_word(std::string& line, const char* key, std::string_view text) {
+    line += ' ';
+    line += key;
+    line += '=';
+    const bool word = !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char c) {
+        return c > 0x20 && c < 0x7f && c != '"' && c != '\\' && c != '=';
+    });
+    if (word) {
+        line += text;
+        return;
+    }
+    line += '"';
+    for (const unsigned char c : text) {
+        char escaped[8];
+        if (c == '"' || c == '\\')
+            std::snprintf(escaped, sizeof escaped, "\\%c", c);
+        else if (c < 0x20 || c >= 0x7f)
+            std::snprintf(escaped, sizeof escaped, "\\x%02x", c);
+        else
+            std::snprintf(escaped, sizeof escaped, "%c", c);
+        line += escaped;
+    }
+    line += '"';
+}
+
+double unix_s() {
+    return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+}   // namespace
+
+// Guards against a log reader that stalls: a write that would wait is not begun. What can't be written is
+// kept up to a bound, in order; beyond it lines are counted, and told of once there is room.
+class Log::Sink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+  public:
+    explicit Sink(int fd) : fd_(fd) {}
+    void set_room(std::size_t bytes) { room_ = bytes; }
+    std::uint64_t lost() const { return lost_; }
+
+    bool drain(int wait_ms = 0) {
+        while (from_ < kept_.size()) {
+            const std::size_t size = std::min(kAtOnce, kept_.size() - from_);
+            const ssize_t done = write_some(kept_.data() + from_, size, wait_ms);
+            if (done <= 0) break;
+            from_ += static_cast<std::size_t>(done);
+        }
+        if (from_ == kept_.size())
+            kept_.clear(), from_ = 0;
+        else if (from_ > kept_.size() / 2)
+            kept_.erase(0, from_), from_ = 0;
+        return kept_.empty();
+    }
+
+  protected:
+    void sink_it_(const spdlog::details::log_msg& message) override {
+        spdlog::memory_buf_t line;
+        formatter_->format(message, line);
+        if (lost_ > told_ && drain()) {
+            const std::string text = "warning: " + std::to_string(lost_ - told_) +
+                                     " log lines left out: their reader was too slow\n";
+            told_ = lost_;
+            put(text.data(), text.size());
+        }
+        put(line.data(), line.size());
+    }
+    void flush_() override { drain(); }
+
+  private:
+    ssize_t write_some(const char* data, std::size_t size, int wait_ms) {
+        pollfd one{fd_, POLLOUT, 0};
+        if (::poll(&one, 1, wait_ms) != 1 || !(one.revents & POLLOUT)) return 0;
+        return ::write(fd_, data, size);
+    }
+    void put(const char* data, std::size_t size) {
+        std::size_t done = 0;
+        if (kept_.empty() || drain()) {
+            while (done < size) {
+                const ssize_t some = write_some(data + done, std::min(kAtOnce, size - done), 0);
+                if (some <= 0) break;
+                done += static_cast<std::size_t>(some);
+            }
+        }
+        if (done == size) return;
+        // A line begun is kept whole whatever the bound: half a line would spoil the next one too.
+        if (done == 0 && kept_.size() - from_ + size > room_)
+            ++lost_;
+        else
+            kept_.append(data + done, size - done);
+    }
+
+    const int fd_;
+    std::size_t room_ = 256 * 1024;
+    std::string kept_;
+    std::size_t from_ = 0;
+    std::uint64_t lost_ = 0, told_ = 0;
+};
+
+Log::Log(const logging::Settings& settings, int fd)
+    : sink_(std::make_shared<Sink>(fd)), logger_(std::make_shared<spdlog::logger>("", sink_)) {
+    configure(settings);
+}
+
+Log::~Log() = default;
+
+void Log::configure(const logging::Settings& settings) {
+    records_ = settings.records();
+    json_ = settings.as() == logging::Format::json;
+    sink_->set_room(static_cast<std::size_t>(settings.buffer_kb) * 1024);
+    least_ = static_cast<Level>(settings.level);   // by put(): records have a switch of their own
+    // Text lines are `LEVEL: TEXT`, as they always were; a JSON line is made whole before it comes here.
+    logger_->set_formatter(std::make_unique<spdlog::pattern_formatter>(
+        json_ ? "%v" : "%l: %v", spdlog::pattern_time_type::local, "\n"));
+}
+
+std::uint64_t Log::lost() const { return sink_->lost(); }
+void Log::drain() { sink_->drain(); }
+
+void Log::flush(double most_s) {
+    const double until = unix_s() + most_s;
+    while (!sink_->drain(20) && unix_s() < until) {
+    }
+}
+
+void Log::put(Level level, std::string_view text) {
+    if (level < least_) return;
+    if (!json_) {
+        logger_->log(level_of(level), spdlog::string_view_t(text.data(), text.size()));
+        return;
+    }
+    rapidjson::StringBuffer line;
+    Json json(line);
+    json.StartObject();
+    json.Key("time");
+    json.Double(unix_s());
+    put_text(json, "level", name_of(level));
+    put_text(json, "text", text);
+    json.EndObject();
+    logger_->log(level_of(level), spdlog::string_view_t(line.GetString(), line.GetSize()));
+}
 
 void Log::write(Level level, double now, const char* format, ...) {
     tokens_ = std::min(kBurst, tokens_ + std::max(0.0, now - at_) * kPerSecond);
     at_ = std::max(at_, now);
     if (tokens_ < 1) {
-        ++suppressed_;
+        ++suppressed_, ++suppressed_all_;
         return;
     }
     tokens_ -= 1;
     if (suppressed_ > 0) {
-        std::fprintf(stderr, "warning: %llu log lines suppressed\n",
-                     static_cast<unsigned long long>(suppressed_));
+        put(Level::warning, std::to_string(suppressed_) + " log lines suppressed");
         suppressed_ = 0;
     }
     char line[512];
@@ -24,8 +201,50 @@
     va_start(args, format);
     std::vsnprintf(line, sizeof line, format, args);
     va_end(args);
-    const char* name = level == Level::info ? "info" : level == Level::warning ? "warning" : "error";
-    std::fprintf(stderr, "%s: %s\n", name, line);
+    put(level, line);
+}
+
+void Log::record(const RequestRecord& r) {
+    char customer[24];
+    std::snprintf(customer, sizeof customer, "%016llx", static_cast<unsigned long long>(r.customer));
+    if (json_) {
+        rapidjson::StringBuffer line;
+        Json json(line);
+        json.StartObject();
+        json.Key("time");
+        json.Double(unix_s());
+        put_text(json, "level", "info");
+        put_text(json, "text", "request");
+        put_text(json, "id", r.id);
+        put_text(json, "class", r.service_class);
+        put_text(json, "plan", r.plan);
+        put_text(json, "customer", customer);
+        put_text(json, "outcome", r.outcome);
+        put_text(json, "reason", r.reason);
+        put_text(json, "provider", r.provider);
+        json.Key("attempts");
+        json.Uint64(r.attempts);
+        json.Key("seconds");
+        json.Double(r.seconds);
+        json.Key("worth");
+        json.Double(r.worth);
+        json.EndObject();
+        logger_->log(spdlog::level::info, spdlog::string_view_t(line.GetString(), line.GetSize()));
+        return;
+    }
+    std::string line = "request";
+    put_word(line, "id", r.id);
+    put_word(line, "class", r.service_class);
+    put_word(line, "plan", r.plan);
+    put_word(line, "customer", customer);
+    put_word(line, "outcome", r.outcome);
+    put_word(line, "reason", r.reason);
+    put_word(line, "provider", r.provider);
+    char figures[96];
+    std::snprintf(figures, sizeof figures, " attempts=%llu seconds=%.6f worth=%.6f",
+                  static_cast<unsigned long long>(r.attempts), r.seconds, r.worth);
+    line += figures;
+    logger_->log(spdlog::level::info, spdlog::string_view_t(line.data(), line.size()));
 }
 
 }   // namespace slatejunction
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,45 +3,88 @@
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
-#include <cxxopts.hpp>
 #include <exception>
+#include <memory>
 #include <string>
 
 #include "config/config.hpp"
 #include "ingress/ingress.hpp"
 #include "log/log.hpp"
+#include "metrics/measures.hpp"
+#include "metrics/table.hpp"
+#include "operator/options.hpp"
+#include "telemetry/telemetry.hpp"
 
 namespace {
 
-constexpr int kBadUse = 2;   // exit status for a bad command line, configuration or environment
+namespace sj = slatejunction;
+
+constexpr int kBadUse = 2;           // exit status for a bad command line, configuration or environment
+constexpr double kLastLines = 0.5;   // s; at the end, for a log reader that is slow
 
 int fail(const std::string& why) {
     std::fprintf(stderr, "error: %s\n", why.c_str());
     return kBadUse;
 }
 
-struct Signals {
+struct Files {
+    std::string config, options;   // options: the operator's own file; empty: none
+};
+
+// Prints every fault of the operator's file; false when there is one.
+bool load_options(const std::string& path, sj::operating::Options& options) {
+    if (path.empty()) return true;
+    const auto faults = sj::operating::load(path, options);
+    for (const std::string& fault : faults) std::fprintf(stderr, "error: %s\n", fault.c_str());
+    return faults.empty();
+}
+
+struct Program {
     const int fd;
-    slatejunction::ingress::Ingress& ingress;
-    slatejunction::Log& log;
-    const slatejunction::directory::UnixClock& clock;
-    const std::string& config_path;
+    sj::ingress::Ingress& ingress;
+    sj::telemetry::Telemetry* telemetry;
+    sj::Log& log;
+    const sj::directory::UnixClock& clock;
+    const Files& files;
+    sj::operating::Options options;
 
-    // SIGHUP: the file has changed. Guards against a file that is broken or half written: the running
-    // configuration stays in force.
+    // SIGHUP: the files have changed. Guards against one that is broken or half written: nothing of either
+    // is taken then, and what is running stays in force.
     void reload() {
-        using namespace slatejunction;
+        const double now = sj::net::now();
+        sj::operating::Options fresh;
+        bool good = true;
+        if (!files.options.empty())
+            for (const std::string& fault : sj::operating::load(files.options, fresh)) {
+                log.write(sj::Log::Level::error, now, "reload refused, nothing changes: %s", fault.c_str());
+                good = false;
+            }
+        if (!good) return;
         try {
-            ingress.reload(config::load(config_path, clock, config::Moment::reload));
+            const auto config = sj::config::load(files.config, clock, sj::config::Moment::reload);
+            if (!files.options.empty()) take(fresh);
+            ingress.reload(config);
         } catch (const std::exception& bad) {
-            log.write(Log::Level::error, net::now(), "reload refused, nothing changes: %s", bad.what());
+            log.write(sj::Log::Level::error, now, "reload refused, nothing changes: %s", bad.what());
+        }
+    }
+    void take(const sj::operating::Options& fresh) {
+        if (telemetry) {
+            telemetry->reload(fresh);
+        } else {
+            log.configure(fresh.log);
+            const bool later = fresh.collects() || fresh.log.requests != 0;
+            log.write(sj::Log::Level::info, sj::net::now(), "reloaded: the operator's file%s",
+                      later ? "; after the next start: log.requests, metrics, remote_write" : "");
         }
+        options = fresh;
     }
 
     static gboolean on_signal(gint, GIOCondition, gpointer data) {
-        auto& self = *static_cast<Signals*>(data);
+        auto& self = *static_cast<Program*>(data);
         signalfd_siginfo info;
         if (read(self.fd, &info, sizeof info) != sizeof info) return G_SOURCE_CONTINUE;
         if (info.ssi_signo == SIGHUP)
@@ -52,8 +95,7 @@
     }
 };
 
-int serve(const std::string& config_path) {
-    using namespace slatejunction;
+int serve(const Files& files) {
     // A descriptor of its own for signals: GLib's way would start a thread, and make every wake-up cost
     // more. Blocked first of all, so that none can end the program while it is starting.
     sigset_t numbers;
@@ -61,52 +103,114 @@
     for (const int number : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&numbers, number);
     sigprocmask(SIG_BLOCK, &numbers, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
-    const directory::UnixClock clock;
-    Log log;
-    const net::Loop loop(g_main_loop_new(nullptr, FALSE));
-    config::Config config = config::load(config_path, clock);
-    config::hold_descriptors(config);
-    ingress::Ingress ingress(std::move(config), clock, log, [&loop] { g_main_loop_quit(loop.get()); });
-    Signals signals{signalfd(-1, &numbers, SFD_CLOEXEC | SFD_NONBLOCK), ingress, log, clock, config_path};
-    const net::Source source(g_unix_fd_source_new(signals.fd, G_IO_IN));
-    g_source_set_callback(source.get(), G_SOURCE_FUNC(&Signals::on_signal), &signals, nullptr);
-    net::attach(source.get());
+    const sj::directory::UnixClock clock;
+    sj::operating::Options options;
+    if (!load_options(files.options, options)) return kBadUse;
+    sj::Log log(options.log);
+    const sj::net::Loop loop(g_main_loop_new(nullptr, FALSE));
+    sj::config::Config config = sj::config::load(files.config, clock);
+    sj::config::hold_descriptors(config);
+    // Nothing is made, counted or looked at where the operator's file names nothing of it.
+    std::unique_ptr<sj::telemetry::Telemetry> telemetry;
+    if (options.collects() || options.log.requests != 0)
+        telemetry = std::make_unique<sj::telemetry::Telemetry>(options, config, SLATEJUNCTION_VERSION, log);
+    const auto quit = [&loop] { g_main_loop_quit(loop.get()); };
+    sj::ingress::Ingress ingress(
+        std::move(config), clock, log,
+        [&] {
+            if (telemetry)
+                telemetry->stop(quit);
+            else
+                quit();
+        },
+        telemetry.get());
+    Program program{signalfd(-1, &numbers, SFD_CLOEXEC | SFD_NONBLOCK),
+                    ingress,
+                    telemetry.get(),
+                    log,
+                    clock,
+                    files,
+                    options};
+    const sj::net::Source source(g_unix_fd_source_new(program.fd, G_IO_IN));
+    g_source_set_callback(source.get(), G_SOURCE_FUNC(&Program::on_signal), &program, nullptr);
+    sj::net::attach(source.get());
     std::string why;
     if (!ingress.start(why)) return fail("NODE_LISTEN can't be listened on: " + why);
+    if (telemetry) telemetry->start([&ingress] { return ingress.gauges(); });
     g_main_loop_run(loop.get());
+    log.flush(kLastLines);
+    return 0;
+}
+
+int check(const Files& files) {
+    sj::operating::Options options;
+    bool good = load_options(files.options, options);
+    try {
+        const auto read = sj::config::load(files.config, sj::directory::UnixClock());
+        if (good)
+            std::printf("configuration of %s is good: %zu classes, %zu plans, %zu providers known\n",
+                        read.name.c_str(), read.settings.classes.size(), read.settings.plans.size(),
+                        read.known.update.entries.size());
+    } catch (const std::exception& fault) {
+        good = false;
+        fail(fault.what());
+    }
+    return good ? 0 : kBadUse;
+}
+
+// Reads the counters that a state directory holds, beside a program that may be running there.
+int counters(const std::string& directory) {
+    for (const auto& [name, value] : sj::store::Cells::read(directory + "/counters")) {
+        std::string line = name;
+        bool label = true;   // NAME \n LABEL \n VALUE ...
+        for (char& c : line)
+            if (c == '\n') c = std::exchange(label, !label) ? ' ' : '=';
+        std::printf("%s %.17g\n", line.c_str(), value);
+    }
     return 0;
 }
 
 }   // namespace
 
 int main(int argc, char** argv) {
-    cxxopts::Options options("slatejunction", "An HTTP ingress that shares quotas and load over a fleet.");
-    options.positional_help("[serve|check-config|version]");
-    options.add_options()("command", "what to do", cxxopts::value<std::string>()->default_value("serve"))(
-        "config", "the configuration file, in place of NODE_CONFIG",
-        cxxopts::value<std::string>()->default_value(""))("help", "this text");
-    options.parse_positional({"command"});
+    CLI::App app("An HTTP ingress that shares quotas and load over a fleet.", "slatejunction");
+    app.require_subcommand(0, 1);
+    Files files;
+    std::string directory;
+    const auto takes_files = [&files](CLI::App* command) {
+        command->add_option("--config", files.config,
+                            "the platform's configuration (JSON), in place of NODE_CONFIG");
+        command->add_option("--operator", files.options,
+                            "the operator's own file (INI); `sample` prints one with every key");
+    };
+    takes_files(&app);
+    auto* serving =
+        app.add_subcommand("serve", "take requests until SIGTERM; what is done without a command");
+    auto* checking =
+        app.add_subcommand("check-config", "read both files and tell all that is wrong with them");
+    auto* version = app.add_subcommand("version", "the version of this program");
+    auto* metrics =
+        app.add_subcommand("metrics", "all measures: name, type, unit, labels and what they tell");
+    auto* sample = app.add_subcommand("sample", "an operator's file with every key, its unit and default");
+    auto* counting = app.add_subcommand("counters", "the counters that a state directory holds");
+    takes_files(serving);
+    takes_files(checking);
+    counting->add_option("directory", directory, "[state] directory of the operator's file")->required();
     try {
-        const auto asked = options.parse(argc, argv);
-        const auto command = asked["command"].as<std::string>();
-        const auto config = asked["config"].as<std::string>();
-        if (asked.count("help")) {
-            std::printf("%s\n", options.help().c_str());
-            return 0;
-        }
-        if (command == "version") {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& bad) {
+        if (bad.get_exit_code() == 0) return app.exit(bad);
+        return fail(std::string(bad.what()) + "; see --help");
+    }
+    try {
+        if (*version) {
             std::printf("slatejunction %s\n", SLATEJUNCTION_VERSION);
             return 0;
         }
-        if (command == "check-config") {
-            const auto read = slatejunction::config::load(config, slatejunction::directory::UnixClock());
-            std::printf("configuration of %s is good: %zu classes, %zu plans, %zu providers known\n",
-                        read.name.c_str(), read.settings.classes.size(), read.settings.plans.size(),
-                        read.known.update.entries.size());
-            return 0;
-        }
-        if (command == "serve") return serve(config);
-        return fail("unknown command '" + command + "'; see --help");
+        if (*metrics) return std::fputs(sj::metrics::markdown().c_str(), stdout) < 0;
+        if (*sample) return std::fputs(sj::operating::sample().c_str(), stdout) < 0;
+        if (*counting) return counters(directory);
+        return *checking ? check(files) : serve(files);
     } catch (const std::exception& fault) {
         return fail(fault.what());
     }
--- /dev/null
+++ b/src/metrics/measures.cpp
@@ -0,0 +1,250 @@
+#include "metrics/measures.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <set>
+
+namespace slatejunction::metrics {
+namespace {
+
+// s; log-linear steps beside the classes' own aims and deadlines
+constexpr std::array<double, 10> kBounds{0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10};
+
+std::string number(double value) {
+    char text[32];
+    std::snprintf(text, sizeof text, "%.10g", value);
+    return text;
+}
+
+std::string key_of(const Series& series) {
+    std::string key = series.name;
+    for (const auto& [name, value] : series.labels) key += "\n" + name + "\n" + value;
+    return key;
+}
+
+// The labels of a family, with all of their values.
+struct Label {
+    std::string name;
+    std::vector<std::string> values;
+};
+
+template <class Words>
+std::vector<std::string> all(const Words& words) {
+    return {words.begin(), words.end()};
+}
+
+std::vector<Label> labels_of(Id id, const std::vector<std::string>& classes,
+                             const std::vector<std::string>& plans) {
+    const Label service{"class", classes}, plan{"plan", plans}, ending{"outcome", all(kEndings)};
+    switch (id) {
+        case Id::requests:
+            return {service, plan, ending};
+        case Id::refusals:
+            return {service, plan, {"reason", all(kReasons)}};
+        case Id::worth_offered:
+        case Id::worth_served:
+        case Id::worth_lost:
+            return {service, plan};
+        case Id::duration:
+            return {service, ending};
+        case Id::attempts:
+            return {{"outcome", all(kOutcomes)}};
+        case Id::log_left_out:
+            return {{"reason", all(kLeftOut)}};
+        case Id::rw_dropped:
+            return {{"reason", all(kDropped)}};
+        case Id::rw_batches:
+            return {{"result", all(kBatches)}};
+        case Id::providers:
+            return {{"state", all(kStates)}};
+        case Id::connections:
+        case Id::bytes_held:
+        case Id::bytes_budget:
+            return {{"side", all(kSides)}};
+        default:
+            return {};
+    }
+}
+
+// Each combination of the labels' values, the last label running fastest.
+std::vector<Labels> combinations(const std::vector<Label>& labels) {
+    std::vector<Labels> rows(1);
+    for (const Label& label : labels) {
+        std::vector<Labels> more;
+        for (const Labels& row : rows)
+            for (const std::string& value : label.values) {
+                more.push_back(row);
+                more.back().emplace_back(label.name, value);
+            }
+        rows = std::move(more);
+    }
+    return rows;
+}
+
+}   // namespace
+
+std::string markdown() {
+    std::string text = "| name | type | unit | labels | what it tells |\n| --- | --- | --- | --- | --- |\n";
+    for (const Family& one : kFamilies)
+        text += "| `" + std::string(one.name) + "` | " + std::string(type_name(one.type)) + " | " +
+                std::string(one.unit) + " | " + std::string(one.labels) + " | " + std::string(one.help) +
+                " |\n";
+    return text;
+}
+
+struct Measures::Layout {
+    std::vector<double> bounds;
+    std::vector<Place> places;
+    std::vector<Series> series;
+    std::vector<std::uint32_t> sources;
+    std::vector<std::string> names;   // of the cells
+    std::size_t gauges = 0;
+};
+
+// A histogram's cells for each combination of labels: its buckets (not cumulative, +Inf last), then its
+// sum.
+Measures::Layout Measures::lay_out(const Shape& shape) {
+    Layout layout;
+    std::vector<std::string> classes, plans;
+    std::set<double> bounds(kBounds.begin(), kBounds.end());
+    for (const ServiceClass& one : shape.classes) {
+        classes.push_back(one.name);
+        for (const double bound : {one.aim_s, one.deadline_s})
+            if (bound > 0) bounds.insert(bound);
+    }
+    for (const Plan& one : shape.plans) plans.push_back(one.name);
+    if (plans.empty()) plans.push_back("none");
+    layout.bounds.assign(bounds.begin(), bounds.end());
+    for (std::size_t number_of = 0; number_of < kFamilies.size(); ++number_of) {
+        const Family& family = kFamilies[number_of];
+        const Id id = static_cast<Id>(number_of);
+        const bool gauge = family.type == Type::gauge;
+        layout.places.push_back({gauge ? layout.gauges : layout.names.size(), gauge});
+        for (const Labels& labels : combinations(labels_of(id, classes, plans))) {
+            const auto series = [&](const char* suffix, std::size_t source) {
+                layout.series.push_back({id, std::string(family.name) + suffix, labels});
+                layout.sources.push_back(static_cast<std::uint32_t>(source));
+            };
+            if (gauge) {
+                series("", layout.gauges++);
+            } else if (family.type == Type::counter) {
+                series("", layout.names.size());
+                layout.names.push_back(key_of(layout.series.back()));
+            } else {
+                for (std::size_t i = 0; i <= layout.bounds.size(); ++i) {
+                    series("_bucket", layout.names.size());
+                    layout.series.back().labels.emplace_back(
+                        "le", i < layout.bounds.size() ? number(layout.bounds[i]) : "+Inf");
+                    layout.names.push_back(key_of(layout.series.back()));
+                }
+                series("_sum", layout.names.size());
+                layout.names.push_back(key_of(layout.series.back()));
+                series("_count", 0);   // the same as the last bucket
+            }
+        }
+    }
+    layout.names.push_back("last sample ms");
+    return layout;
+}
+
+Measures::Measures(Shape shape, std::int64_t now_ms, const std::string& path)
+    : Measures(shape, now_ms, path, lay_out(shape)) {}
+
+Measures::Measures(Shape shape, std::int64_t now_ms, const std::string& path, Layout layout)
+    : shape_(std::move(shape)),
+      bounds_(std::move(layout.bounds)),
+      places_(std::move(layout.places)),
+      series_(std::move(layout.series)),
+      sources_(std::move(layout.sources)),
+      plans_(std::max<std::size_t>(1, shape_.plans.size())),
+      last_sample_(layout.names.size() - 1),
+      cells_(path.empty() ? store::Cells(layout.names.size(), now_ms)
+                          : store::Cells(path, layout.names, now_ms)),
+      gauges_(layout.gauges) {
+    set(Id::counters_created, static_cast<double>(cells_.created_ms()) / 1e3);
+}
+
+double Measures::finished(const Finished& r) {
+    const ServiceClass& service = shape_.classes[r.service_class];
+    const double price = shape_.plans.empty() ? 1 : shape_.plans[r.plan].price;
+    const double offered = service.worth * price * r.units;
+    const bool late = service.aim_s > 0 && r.seconds > service.aim_s;
+    const double served = r.ending != Ending::served ? 0 : late ? offered * service.late_worth : offered;
+    const std::size_t pair = r.service_class * plans_ + r.plan;
+    const auto ending = static_cast<std::size_t>(r.ending);
+    const auto bound = static_cast<std::size_t>(
+        std::lower_bound(bounds_.begin(), bounds_.end(), r.seconds) - bounds_.begin());
+    const std::size_t histogram = (r.service_class * kEndings.size() + ending) * (bounds_.size() + 2);
+    std::array<store::Cells::Change, 7> changes;
+    std::size_t count = 0;
+    const auto change = [&](Id id, std::size_t label, double by) {
+        if (by != 0) changes[count++] = {static_cast<std::uint32_t>(at(id, label)), by};
+    };
+    change(Id::requests, pair * kEndings.size() + ending, 1);
+    if (r.ending == Ending::refused) change(Id::refusals, pair * kReasons.size() + r.reason, 1);
+    change(Id::worth_offered, pair, offered);
+    change(Id::worth_served, pair, served);
+    change(Id::worth_lost, pair, offered - served);
+    change(Id::duration, histogram + bound, 1);
+    change(Id::duration, histogram + bounds_.size() + 1, r.seconds);
+    cells_.apply({changes.data(), count});
+    return served;
+}
+
+void Measures::add(Id id, std::size_t label, double by) {
+    const store::Cells::Change change{static_cast<std::uint32_t>(at(id, label)), by};
+    cells_.apply({&change, 1});
+}
+
+void Measures::set(Id id, double value, std::size_t label) { gauges_[at(id, label)] = value; }
+
+double Measures::get(Id id, std::size_t label) const {
+    return places_[static_cast<std::size_t>(id)].gauge ? gauges_[at(id, label)] : cells_.get(at(id, label));
+}
+
+void Measures::sample(std::vector<double>& values) const {
+    values.resize(series_.size());
+    double bucket = 0;
+    for (std::size_t i = 0; i < series_.size(); ++i) {
+        const Type type = family(series_[i].family).type;
+        if (type == Type::gauge) {
+            values[i] = gauges_[sources_[i]];
+        } else if (type == Type::counter) {
+            values[i] = cells_.get(sources_[i]);
+        } else {
+            const std::string& name = series_[i].name;
+            if (name.ends_with("_bucket")) {
+                bucket += cells_.get(sources_[i]);
+                values[i] = bucket;
+            } else if (name.ends_with("_sum")) {
+                values[i] = cells_.get(sources_[i]);
+            } else {
+                values[i] = bucket;
+                bucket = 0;
+            }
+        }
+    }
+}
+
+std::int64_t Measures::last_sample_ms() const {
+    return static_cast<std::int64_t>(cells_.get(last_sample_));
+}
+
+void Measures::sampled(std::int64_t at_ms) {
+    cells_.set(static_cast<std::uint32_t>(last_sample_), static_cast<double>(at_ms));
+}
+
+std::size_t Measures::find_class(std::string_view name) const {
+    const auto at = std::find_if(shape_.classes.begin(), shape_.classes.end(),
+                                 [&](const auto& one) { return one.name == name; });
+    return static_cast<std::size_t>(at - shape_.classes.begin());
+}
+
+std::size_t Measures::find_plan(std::string_view name) const {
+    const auto at = std::find_if(shape_.plans.begin(), shape_.plans.end(),
+                                 [&](const auto& one) { return one.name == name; });
+    return at == shape_.plans.end() ? 0 : static_cast<std::size_t>(at - shape_.plans.begin());
+}
+
+}   // namespace slatejunction::metrics
--- /dev/null
+++ b/src/operator/options.cpp
@@ -0,0 +1,40 @@
+#include "operator/options.hpp"
+
+namespace slatejunction::operating {
+namespace {
+
+std::vector<ini::Section*> pointers(std::vector<ini::Section>& sections) {
+    std::vector<ini::Section*> all;
+    for (ini::Section& section : sections) all.push_back(&section);
+    return all;
+}
+
+}   // namespace
+
+std::vector<ini::Section> Options::sections() {
+    std::vector<ini::Section> all;
+    all.push_back(log.section());
+    all.push_back(metrics.section());
+    all.push_back(metrics.state());
+    all.push_back(remote_write.section());
+    return all;
+}
+
+std::vector<std::string> load(const std::string& path, Options& options) {
+    Options fresh;
+    auto sections = fresh.sections();
+    std::vector<std::string> faults = ini::read(path, pointers(sections));
+    if (faults.empty()) options = fresh;
+    return faults;
+}
+
+std::string sample() {
+    Options standard;
+    auto sections = standard.sections();
+    return "# slatejunction: the operator's own file, given with --operator FILE. Every key stands here "
+           "with its\n"
+           "# default. The platform's settings are not here but in the file that NODE_CONFIG names.\n\n" +
+           ini::sample(pointers(sections));
+}
+
+}   // namespace slatejunction::operating
--- /dev/null
+++ b/src/operator/options.hpp
@@ -0,0 +1,28 @@
+// The operator's own file (deploy/operator.ini): what the platform's configuration does not say. Everything
+// in it is off unless it is named there.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "log/settings.hpp"
+#include "metrics/settings.hpp"
+#include "remotewrite/settings.hpp"
+
+namespace slatejunction::operating {
+
+struct Options {
+    logging::Settings log;
+    metrics::Settings metrics;
+    remotewrite::Settings remote_write;
+
+    bool collects() const { return metrics.collect == 1 || !remote_write.url.empty(); }
+    std::vector<ini::Section> sections();   // they write into this object
+};
+
+// Takes the file, all of it or nothing. Returns all faults, one line each; see ini::read().
+std::vector<std::string> load(const std::string& path, Options& options);
+// The file with every key, its unit and its default.
+std::string sample();
+
+}   // namespace slatejunction::operating
--- a/src/provider/pool.cpp
+++ b/src/provider/pool.cpp
@@ -147,6 +147,11 @@
         }
 }
 
+std::size_t Pool::ready() const {
+    return static_cast<std::size_t>(std::count_if(providers_.begin(), providers_.end(),
+                                                  [](const auto& one) { return one.second.accepting; }));
+}
+
 void Pool::on_call_end(Connection& connection, CallTag tag, const CallEnd& end) {
     // A dial that failed or was given up tells nothing of connections that are up.
     if (end.outcome != Outcome::connect_failed || end.broke)
--- a/src/provider/pool.hpp
+++ b/src/provider/pool.hpp
@@ -39,6 +39,7 @@
     void sweep(double now);   // ends idle connections before their provider does
     std::size_t connections() const { return connections_.size(); }
     std::size_t providers() const { return providers_.size(); }
+    std::size_t ready() const;   // of these, that take new work
 
     void on_call_end(Connection& connection, CallTag tag, const CallEnd& end) override;
     void on_free(Connection& connection) override;
--- /dev/null
+++ b/src/remotewrite/driver.cpp
@@ -0,0 +1,234 @@
+#include "remotewrite/driver.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <chrono>
+#include <cmath>
+#include <cstdio>
+#include <stdexcept>
+
+#include "http/message.hpp"
+
+namespace slatejunction::remotewrite {
+namespace {
+
+template <class T>
+bool read(std::string_view text, T& value) {
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return !text.empty() && fault == std::errc() && end == text.data() + text.size();
+}
+
+double unix_s() {
+    return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+}   // namespace
+
+// One connection. An answer is known by its head: what follows of it is read only as far as it came along,
+// so that an answer without end, or one that trickles, costs nothing. The connection then is not kept.
+struct Driver::Link final : net::Protocol {
+    explicit Link(Driver& driver) : driver_(driver), parser_(http::Parser::Kind::response) {}
+
+    void write(const Batch& batch) {
+        char length[48];
+        const std::string_view sized(
+            length, static_cast<std::size_t>(std::snprintf(
+                        length, sizeof length, "Content-Length: %zu\r\n\r\n", batch.body.size())));
+        const bool v2 = batch.protocol == remotewrite::Protocol::v2;
+        const bool known = !driver_.authorization_.empty();
+        const std::array<std::string_view, 13> parts{
+            "POST ",
+            driver_.url_.path,
+            " HTTP/1.1\r\nHost: ",
+            driver_.url_.host_port,
+            "\r\nUser-Agent: slatejunction/",
+            driver_.version_,
+            "\r\nContent-Encoding: snappy\r\nContent-Type: ",
+            v2 ? "application/x-protobuf;proto=io.prometheus.write.v2.Request" : "application/x-protobuf",
+            v2 ? "\r\nX-Prometheus-Remote-Write-Version: 2.0.0\r\n"
+               : "\r\nX-Prometheus-Remote-Write-Version: 0.1.0\r\n",
+            known ? "Authorization: " : "",
+            driver_.authorization_,
+            known ? "\r\n" : "",
+            sized};
+        busy = true;
+        if (!stream.send(parts)) return on_end(false);
+        const std::string_view body = batch.body;
+        if (!stream.send({&body, 1})) on_end(false);
+    }
+
+    void on_open() override {
+        dialling = false;
+        if (pending) write(*std::exchange(pending, nullptr));
+    }
+    std::span<char> space() override { return parser_.room(buffer_); }
+    void on_bytes(std::size_t size) override {
+        buffer_.commit(size);
+        if (!busy) return lose();   // nothing was asked
+        look(parser_.feed(buffer_));
+    }
+    void on_end(bool) override {
+        const bool was_busy = busy || dialling;
+        const char* what = dialling ? "no connection" : "the connection broke";
+        const auto keep = shared_from_this();
+        lose();
+        if (was_busy) driver_.ended({Answer::How::broke, 0, -1, -1}, what);
+    }
+
+    void look(http::Step step) {
+        if (step == http::Step::more && !parser_.has_head()) return;
+        const auto keep = shared_from_this();
+        if (step == http::Step::bad || step == http::Step::head_too_large) {
+            lose();
+            return driver_.ended({Answer::How::broke, 0, -1, -1}, "an answer that can't be read");
+        }
+        Answer answer;
+        const http::Head& head = parser_.head();
+        answer.status = head.status;
+        if (const auto* wait = head.find("retry-after"))
+            if (double seconds = 0; read(*wait, seconds) && std::isfinite(seconds) && seconds >= 0)
+                answer.retry_after_s = seconds;
+        if (const auto* written = head.find("x-prometheus-remote-write-samples-written"))
+            if (std::int64_t count = 0; read(*written, count) && count >= 0) answer.written = count;
+        std::string what = "status " + std::to_string(head.status);
+        if (head.status / 100 != 2) {
+            std::string_view text = parser_.body().substr(0, 120);
+            text = text.substr(0, text.find_first_of("\r\n"));
+            if (!text.empty()) what += ": " + std::string(text);
+        }
+        const bool reusable = step == http::Step::done && head.keep_alive && !stream.unsent() &&
+                              parser_.used() == buffer_.view().size();
+        busy = false;
+        parser_.reset();
+        buffer_.clear();
+        if (!reusable) lose();
+        driver_.ended(answer, what);
+    }
+    void lose() {
+        stream.close();
+        busy = dialling = false;
+        pending = nullptr;
+        if (driver_.link_.get() == this) driver_.link_.reset();
+    }
+
+    Driver& driver_;
+    net::Stream stream{*this};
+    http::Parser parser_;
+    http::Buffer buffer_;
+    const Batch* pending = nullptr;
+    bool busy = false, dialling = false;
+};
+
+Driver::Driver(const Settings& settings, std::uint64_t seed, std::string version, net::Timers& timers,
+               Log& log)
+    : settings_(settings),
+      version_(std::move(version)),
+      sender_(settings, seed),
+      log_(log),
+      timers_(timers),
+      timer_(timers, [this] { due(); }) {
+    last_success_ = unix_s();
+    configure(settings);
+}
+
+Driver::~Driver() {
+    if (link_) link_->stream.close();
+}
+
+void Driver::configure(const Settings& settings) {
+    std::string why = read_url(settings.url, url_);
+    const std::string authorization = remotewrite::authorization(settings, why);
+    if (!why.empty()) throw std::runtime_error("remote_write: " + why);
+    const bool elsewhere = settings.url != settings_.url || authorization != authorization_;
+    settings_ = settings;
+    authorization_ = authorization;
+    address_ = net::parse_address(url_.host_port);
+    sender_.configure(settings);
+    if (!elsewhere) return;
+    if (const auto link = link_) link->lose();
+    sender_.moved(net::now());
+    pump();
+}
+
+void Driver::add(Frame frame) {
+    sender_.add(std::move(frame));
+    pump();
+}
+
+void Driver::finish(double most_s, std::function<void()> done) {
+    finish_by_ = net::now() + most_s;
+    done_ = std::move(done);
+    pump();
+}
+
+void Driver::pump() {
+    const double now = net::now();
+    if (done_ && (sender_.empty() || now >= finish_by_)) {
+        if (!sender_.empty())
+            log_.write(Log::Level::warning, now, "remote write: stopping with %zu frames not sent",
+                       sender_.frames());
+        if (link_) link_->lose();
+        sender_.give_up();
+        timer_.disarm();
+        return std::exchange(done_, {})();
+    }
+    if (const Batch* batch = sender_.next(now)) {
+        until_ = now + settings_.timeout_s;
+        post(*batch);
+    }
+    arm();
+}
+
+void Driver::arm() {
+    double at = sender_.out() ? until_ : sender_.wake_at();
+    if (done_) at = std::min(at, finish_by_);
+    if (std::isfinite(at))
+        timer_.arm(at);
+    else
+        timer_.disarm();
+}
+
+void Driver::post(const Batch& batch) {
+    if (link_ && link_->stream.readable()) link_->lose();   // the receiver has ended it meanwhile
+    if (link_) return link_->write(batch);
+    link_ = std::make_shared<Link>(*this);
+    const auto keep = link_;
+    link_->pending = &batch;
+    link_->dialling = true;
+    if (!keep->stream.dial(address_.get())) keep->on_end(false);
+}
+
+void Driver::due() {
+    if (sender_.out() && net::now() >= until_) {
+        if (const auto link = link_) link->lose();
+        return ended({Answer::How::timed_out, 0, -1, -1}, "no answer in time");
+    }
+    pump();
+}
+
+void Driver::ended(const Answer& answer, const std::string& what) {
+    const double now = net::now();
+    const bool taken = answer.how == Answer::How::answered && answer.status / 100 == 2;
+    const std::uint64_t rejected = sender_.tally().rejected;
+    sender_.ended(now, answer);
+    if (taken) last_success_ = unix_s();
+    if (sender_.tally().rejected != rejected)
+        log_.write(Log::Level::error, now, "remote write: %llu samples turned down: %s",
+                   static_cast<unsigned long long>(sender_.tally().rejected - rejected), what.c_str());
+    else if (!taken && !std::exchange(failing_, true))
+        log_.write(Log::Level::warning, now, "remote write: %s; it is tried again", what.c_str());
+    else if (taken && std::exchange(failing_, false))
+        log_.write(Log::Level::info, now, "remote write: the receiver takes samples again, %zu frames wait",
+                   sender_.frames());
+    // Not from here: carrying out the next batch may fail at once, and so on without end.
+    const double at = sender_.wake_at();
+    if (done_)
+        timer_.arm(std::min(at, std::min(finish_by_, sender_.empty() ? now : finish_by_)));
+    else if (std::isfinite(at))
+        timer_.arm(std::max(at, now));
+    else
+        timer_.disarm();
+}
+
+}   // namespace slatejunction::remotewrite
--- /dev/null
+++ b/src/remotewrite/settings.hpp
@@ -0,0 +1,39 @@
+// The operator's [remote_write] section.
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "ini/ini.hpp"
+
+namespace slatejunction::remotewrite {
+
+enum class Protocol { v1, v2 };   // Prometheus remote-write 1.0 and 2.0
+
+struct Settings {
+    std::string url;    // empty: off
+    int protocol = 1;   // Protocol
+    double interval_s = 15, timeout_s = 5;
+    std::int64_t batch_samples = 2000, backlog_mb = 8, catch_up_samples_per_s = 20000;
+    std::string backlog_directory;
+    std::vector<std::pair<std::string, std::string>> labels;
+    std::string basic_file, bearer_file;
+    bool operator==(const Settings&) const = default;
+
+    Protocol as() const { return static_cast<Protocol>(protocol); }
+    ini::Section section();
+};
+
+// A receiver's address: http://HOST:PORT/PATH, HOST a number of IPv4 or [IPv6] (no names are looked up).
+struct Url {
+    std::string host_port, path;
+};
+// Why it is none, or empty.
+std::string read_url(const std::string& text, Url& url);
+
+// The value of the Authorization field, from the files that the settings name. Empty when they name none.
+// `why` says what is wrong with a file.
+std::string authorization(const Settings& settings, std::string& why);
+
+}   // namespace slatejunction::remotewrite
--- /dev/null
+++ b/src/store/cells.cpp
@@ -0,0 +1,230 @@
+#include "store/cells.hpp"
+
+#include <fcntl.h>
+#include <sys/mman.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <bit>
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+#include <unordered_map>
+#include <utility>
+
+namespace slatejunction::store {
+namespace {
+
+constexpr std::uint64_t kMagic = 0x534c4c45434a4c53ULL;   // "SLJCELLS"
+constexpr std::uint64_t kVersion = 1;
+constexpr std::uint64_t kArmed = 0xa5c3'96f0'5a3c'690fULL;
+
+// The first 24 bytes keep their form in every version, so that another version can be told from a broken
+// file.
+struct Header {
+    std::uint64_t magic, version, prefix_check;
+    std::uint64_t count, names_size, created_ms, names_check;
+    std::uint64_t check;   // of all before it
+};
+constexpr std::size_t kPrefix = 16, kHeaderChecked = sizeof(Header) - 8;
+
+// The kernel keeps a killed process's stores in the order in which it made them: only the compiler has to
+// be held back.
+void in_order() { std::atomic_signal_fence(std::memory_order_seq_cst); }
+
+std::string packed(const std::vector<std::string>& names) {
+    std::string all;
+    for (const std::string& name : names) {
+        const auto size = static_cast<std::uint32_t>(name.size());
+        all.append(reinterpret_cast<const char*>(&size), sizeof size);
+        all += name;
+    }
+    return all;
+}
+
+std::string why() { return std::strerror(errno); }
+
+}   // namespace
+
+struct Cells::Redo {
+    struct Entry {
+        std::uint64_t cell, bits;
+    };
+    std::uint64_t armed;   // kArmed: the entries are to be written again; 0: they mean nothing
+    std::uint64_t count, check;
+    Entry entries[kChangesMost];
+};
+
+Cells::Cells(std::size_t count, std::int64_t now_ms) : count_(count), values_(count), created_ms_(now_ms) {}
+
+Cells::Cells(const std::string& path, const std::vector<std::string>& names, std::int64_t now_ms)
+    : count_(names.size()), created_ms_(now_ms) {
+    std::vector<std::pair<std::string, double>> old;
+    if (::access(path.c_str(), F_OK) == 0 && !load(path, old)) {
+        broken_ = set_aside(path);
+        created_ms_ = now_ms;
+        old.clear();
+    }
+    // Always written anew beside the old one and renamed: a file of this name is whole or not there.
+    const std::string fresh = path + ".new", all = packed(names);
+    const std::size_t size = sizeof(Header) + sizeof(Redo) + count_ * sizeof(Figure) + all.size();
+    ::unlink(fresh.c_str());
+    {
+        const File file(::open(fresh.c_str(), O_RDWR | O_CREAT | O_EXCL | O_CLOEXEC, 0600));
+        if (!file) throw Error(fresh + " can't be made: " + why());
+        // All of its room is taken here: a full disk is told now, and never by a signal in an update.
+        if (const int fault = ::posix_fallocate(file.get(), 0, static_cast<off_t>(size)); fault != 0) {
+            ::unlink(fresh.c_str());
+            throw Error(fresh + " can't be made: " + std::strerror(fault));
+        }
+    }
+    map(fresh, size);
+    std::unordered_map<std::string, std::size_t> places;
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        places.emplace(names[i], i);
+        put(i, std::bit_cast<std::uint64_t>(0.0));
+    }
+    for (const auto& [name, value] : old) {
+        const auto at = places.find(name);
+        if (at == places.end())
+            ++dropped_;
+        else
+            put(at->second, std::bit_cast<std::uint64_t>(value));
+    }
+    std::memcpy(base_ + size - all.size(), all.data(), all.size());
+    Header header{kMagic,
+                  kVersion,
+                  0,
+                  count_,
+                  all.size(),
+                  static_cast<std::uint64_t>(created_ms_),
+                  check_of(all.data(), all.size()),
+                  0};
+    header.prefix_check = check_of(&header, kPrefix);
+    header.check = check_of(&header, kHeaderChecked);
+    std::memcpy(base_, &header, sizeof header);
+    if (std::rename(fresh.c_str(), path.c_str()) != 0) throw Error(path + " can't be made: " + why());
+}
+
+Cells::~Cells() {
+    if (base_) ::munmap(base_, size_);
+}
+
+Cells::Cells(Cells&& other) noexcept
+    : count_(other.count_),
+      values_(std::move(other.values_)),
+      base_(std::exchange(other.base_, nullptr)),
+      size_(other.size_),
+      redo_(std::exchange(other.redo_, nullptr)),
+      figures_(std::exchange(other.figures_, nullptr)),
+      created_ms_(other.created_ms_),
+      broken_(std::move(other.broken_)),
+      dropped_(other.dropped_) {}
+
+void Cells::map(const std::string& path, std::size_t size) {
+    const File file(::open(path.c_str(), O_RDWR | O_CLOEXEC));
+    void* at = file ? ::mmap(nullptr, size, PROT_READ | PROT_WRITE, MAP_SHARED, file.get(), 0) : MAP_FAILED;
+    if (at == MAP_FAILED) throw Error(path + " can't be mapped: " + why());
+    base_ = static_cast<char*>(at);
+    size_ = size;
+    redo_ = reinterpret_cast<Redo*>(base_ + sizeof(Header));
+    figures_ = reinterpret_cast<Figure*>(base_ + sizeof(Header) + sizeof(Redo));
+}
+
+bool Cells::load(const std::string& path, std::vector<std::pair<std::string, double>>& values) {
+    std::ifstream in(path, std::ios::binary);
+    std::stringstream all;
+    all << in.rdbuf();
+    const std::string bytes = all.str();
+    if (!in) throw Error(path + " can't be read");
+    Header header{};
+    if (bytes.size() < kPrefix + 8) return false;
+    std::memcpy(&header, bytes.data(), std::min(bytes.size(), sizeof header));
+    if (header.magic != kMagic || header.prefix_check != check_of(bytes.data(), kPrefix)) return false;
+    if (header.version != kVersion)
+        throw Error(path + " has version " + std::to_string(header.version) + "; this program knows " +
+                    std::to_string(kVersion));
+    if (bytes.size() < sizeof header + sizeof(Redo) || header.check != check_of(&header, kHeaderChecked))
+        return false;
+    if (header.count > bytes.size() / sizeof(Figure) || header.names_size > bytes.size()) return false;
+    const std::size_t figures_at = sizeof header + sizeof(Redo);
+    const std::size_t names_at = figures_at + header.count * sizeof(Figure);
+    if (bytes.size() != names_at + header.names_size) return false;
+    if (header.names_check != check_of(bytes.data() + names_at, header.names_size)) return false;
+    created_ms_ = static_cast<std::int64_t>(header.created_ms);   // the checks below depend on it
+
+    std::vector<Figure> figures(header.count);
+    std::memcpy(figures.data(), bytes.data() + figures_at, header.count * sizeof(Figure));
+    Redo redo;
+    std::memcpy(&redo, bytes.data() + sizeof header, sizeof redo);
+    if (redo.armed == kArmed) {
+        if (redo.count > kChangesMost ||
+            redo.check != check_of(redo.entries, redo.count * sizeof(Redo::Entry), redo.count))
+            return false;
+        for (std::size_t i = 0; i < redo.count; ++i) {
+            const auto [cell, bits] = redo.entries[i];
+            if (cell >= header.count) return false;
+            figures[cell] = {bits, check(cell, bits)};
+        }
+    } else if (redo.armed != 0) {
+        return false;
+    }
+    std::size_t at = names_at;
+    for (std::uint64_t i = 0; i < header.count; ++i) {
+        std::uint32_t size = 0;
+        if (bytes.size() - at < sizeof size) return false;
+        std::memcpy(&size, bytes.data() + at, sizeof size);
+        at += sizeof size;
+        if (bytes.size() - at < size) return false;
+        if (figures[i].check != check(i, figures[i].bits)) return false;
+        values.emplace_back(bytes.substr(at, size), std::bit_cast<double>(figures[i].bits));
+        at += size;
+    }
+    return at == bytes.size();
+}
+
+std::vector<std::pair<std::string, double>> Cells::read(const std::string& path) {
+    Cells reader(0, 0);
+    std::vector<std::pair<std::string, double>> values;
+    if (!reader.load(path, values)) throw Error(path + " is broken");
+    return values;
+}
+
+std::uint64_t Cells::check(std::uint64_t cell, std::uint64_t bits) const {
+    const std::uint64_t both[2] = {cell, bits};
+    return check_of(both, sizeof both, static_cast<std::uint64_t>(created_ms_));
+}
+
+void Cells::put(std::uint64_t cell, std::uint64_t bits) { figures_[cell] = {bits, check(cell, bits)}; }
+
+double Cells::of_file(std::size_t cell) const { return std::bit_cast<double>(figures_[cell].bits); }
+
+void Cells::apply(std::span<const Change> changes) {
+    if (!figures_) {
+        for (const Change& change : changes) values_[change.cell] += change.by;
+        return;
+    }
+    std::size_t count = 0;
+    for (const Change& change : changes.first(std::min(changes.size(), kChangesMost)))
+        redo_->entries[count++] = {change.cell,
+                                   std::bit_cast<std::uint64_t>(of_file(change.cell) + change.by)};
+    redo_->count = count;
+    redo_->check = check_of(redo_->entries, count * sizeof(Redo::Entry), count);
+    in_order();
+    redo_->armed = kArmed;
+    in_order();
+    for (std::size_t i = 0; i < count; ++i) put(redo_->entries[i].cell, redo_->entries[i].bits);
+    in_order();
+    redo_->armed = 0;
+    in_order();
+}
+
+void Cells::set(std::uint32_t cell, double value) {
+    const Change change{cell, value - get(cell)};
+    apply({&change, 1});
+}
+
+}   // namespace slatejunction::store
--- /dev/null
+++ b/src/telemetry/telemetry.cpp
@@ -0,0 +1,248 @@
+#include "telemetry/telemetry.hpp"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+
+namespace slatejunction::telemetry {
+
+using metrics::Id;
+
+namespace {
+
+constexpr double kStopMost = 1.0;   // s; for the last samples: the platform ends what stays longer
+
+std::int64_t unix_ms() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+double resident_bytes() {
+    long size = 0, resident = 0;
+    if (std::FILE* file = std::fopen("/proc/self/statm", "r")) {
+        if (std::fscanf(file, "%ld %ld", &size, &resident) != 2) resident = 0;
+        std::fclose(file);
+    }
+    return static_cast<double>(resident) * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+}   // namespace
+
+Telemetry::Telemetry(const operating::Options& options, const config::Config& config, std::string version,
+                     Log& log)
+    : options_(options),
+      name_(config.name),
+      version_(std::move(version)),
+      seed_(config.seed),
+      log_(log),
+      timer_(timers_, [this] { tick(); }) {
+    started_ = quota_report_at_ = net::now();
+    std::string path;
+    if (options_.collects() && !options_.metrics.directory.empty()) {
+        directory_.emplace(options_.metrics.directory);
+        path = directory_->file("counters");
+    }
+    measures_.emplace(metrics::Measures::Shape{config.settings.classes, config.settings.plans}, unix_ms(),
+                      path);
+    if (!measures_->cells().broken().empty())
+        log_.write(Log::Level::error, started_,
+                   "state: a broken file was put aside as %s; counters begin at 0",
+                   measures_->cells().broken().c_str());
+    if (measures_->cells().dropped() > 0)
+        log_.write(Log::Level::warning, started_,
+                   "state: %zu counters of classes or plans that are gone were left",
+                   measures_->cells().dropped());
+    measures_->add(Id::starts);
+    measures_->set(Id::start_time, static_cast<double>(unix_ms()) / 1e3);
+    measures_->set(Id::admitted_fraction, 1);
+    measures_->set(Id::memory_limit, config.memory_mb * 1024 * 1024);
+    last_ms_ = measures_->last_sample_ms();
+    if (!options_.remote_write.url.empty())
+        driver_ =
+            std::make_unique<remotewrite::Driver>(options_.remote_write, seed_, version_, timers_, log_);
+    lay_out();
+}
+
+Telemetry::~Telemetry() = default;
+
+void Telemetry::lay_out() {
+    auto labels = options_.remote_write.labels;
+    const auto otherwise = [&](const char* name, const std::string& value) {
+        if (std::none_of(labels.begin(), labels.end(), [&](const auto& one) { return one.first == name; }))
+            labels.emplace_back(name, value);
+    };
+    otherwise("job", "slatejunction");
+    otherwise("instance", name_);
+    auto layout = std::make_shared<remotewrite::Layout>();
+    layout->created_ms = measures_->cells().created_ms();
+    for (const metrics::Series& one : measures_->series()) {
+        const metrics::Family& family = metrics::family(one.family);
+        using Type = remotewrite::Layout::Type;
+        const Type type = family.type == metrics::Type::counter ? Type::counter
+                          : family.type == metrics::Type::gauge ? Type::gauge
+                                                                : Type::histogram;
+        layout->add(one.name, one.labels, labels, type, std::string(family.name), std::string(family.help),
+                    std::string(family.unit));
+    }
+    layout_ = std::move(layout);
+}
+
+void Telemetry::start(std::function<ingress::Gauges()> gauges) {
+    gauges_ = std::move(gauges);
+    next_ = net::now();
+    tick();
+}
+
+void Telemetry::tick() {
+    const double now = net::now();
+    if (driver_ && now >= next_) {
+        sample();
+        // Missed intervals are not made up for: the figures are sums.
+        next_ = std::max(next_ + options_.remote_write.interval_s, now);
+    }
+    if (driver_) timer_.arm(next_);
+}
+
+void Telemetry::sample() {
+    const double now = net::now();
+    const ingress::Gauges g = gauges_();
+    auto& m = *measures_;
+    const auto set = [&](Id id, auto value, std::size_t label = 0) {
+        m.set(id, static_cast<double>(value), label);
+    };
+    set(Id::open_requests, g.open);
+    set(Id::quota_report_age, now - quota_report_at_);
+    set(Id::providers, g.ready, 0);
+    set(Id::providers, g.draining, 1);
+    set(Id::directory_age, now - (g.directory_heard_at > 0 ? g.directory_heard_at : started_));
+    set(Id::connections, g.consumers, 0);
+    set(Id::connections, g.calls, 1);
+    set(Id::bytes_held, g.consumer_bytes, 0);
+    set(Id::bytes_held, g.provider_bytes, 1);
+    set(Id::bytes_budget, g.consumer_budget, 0);
+    set(Id::bytes_budget, g.provider_budget, 1);
+    set(Id::descriptors, g.descriptors);
+    set(Id::descriptors_limit, g.descriptors_limit);
+    set(Id::resident, resident_bytes());
+    count_senders();
+    std::vector<double> values;
+    m.sample(values);
+    push(std::move(values), false);
+}
+
+// Also what the log and the sender count for themselves: by how much they have moved since the last time.
+void Telemetry::count_senders() {
+    auto& m = *measures_;
+    const auto moved = [&](Id id, std::size_t label, std::uint64_t& seen, std::uint64_t now) {
+        if (now != seen) m.add(id, label, static_cast<double>(now - std::exchange(seen, now)));
+    };
+    moved(Id::log_left_out, 0, suppressed_, log_.suppressed());
+    moved(Id::log_left_out, 1, lost_, log_.lost());
+    if (!driver_) return;
+    const remotewrite::Sender& sender = driver_->sender();
+    const remotewrite::Tally& t = sender.tally();
+    moved(Id::rw_sent, 0, tally_.sent, t.sent);
+    moved(Id::rw_retried, 0, tally_.retried, t.retried);
+    moved(Id::rw_dropped, 0, tally_.thinned, t.thinned);
+    moved(Id::rw_dropped, 1, tally_.backlog_full, t.backlog_full);
+    moved(Id::rw_dropped, 2, tally_.rejected, t.rejected);
+    moved(Id::rw_dropped, 3, tally_.stopped, t.stopped);
+    moved(Id::rw_batches, 0, tally_.taken, t.taken);
+    moved(Id::rw_batches, 1, tally_.put_off, t.put_off);
+    moved(Id::rw_batches, 2, tally_.turned_down, t.turned_down);
+    moved(Id::rw_batches, 3, tally_.broken, t.broken);
+    moved(Id::rw_batches, 4, tally_.timed_out, t.timed_out);
+    moved(Id::rw_batches, 5, tally_.fallen_back, t.fallen_back);
+    m.set(Id::rw_backlog_bytes, static_cast<double>(sender.bytes()));
+    m.set(Id::rw_backlog_limit, static_cast<double>(sender.limit()));
+    m.set(Id::rw_backlog_age,
+          sender.empty() ? 0 : std::max(0.0, static_cast<double>(unix_ms() - sender.oldest_ms()) / 1e3));
+    m.set(Id::rw_last_success, driver_->last_success_unix_s());
+}
+
+// Guards against a clock that steps back, and against a second sample in one millisecond: times of one
+// series only go up, also over a restart where there is a state directory.
+void Telemetry::push(std::vector<double> values, bool keep) {
+    remotewrite::Frame frame;
+    frame.at_ms = last_ms_ = std::max(unix_ms(), last_ms_ + 1);
+    frame.layout = layout_;
+    frame.values = std::move(values);
+    frame.keep = keep;
+    measures_->sampled(last_ms_);
+    driver_->add(std::move(frame));
+}
+
+void Telemetry::reload(const operating::Options& options) {
+    std::string later;
+    const auto waits = [&](bool changed, const char* field) {
+        if (changed) later += std::string(later.empty() ? "" : ", ") + field;
+    };
+    waits(options.metrics.directory != options_.metrics.directory, "state.directory");
+    waits(options.collects() != options_.collects(), "metrics.collect");
+    waits(options.remote_write.backlog_directory != options_.remote_write.backlog_directory,
+          "remote_write.backlog_directory");
+    waits(options.remote_write.url.empty() != options_.remote_write.url.empty(), "remote_write.url");
+    log_.configure(options.log);
+    const bool relabelled = options.remote_write.labels != options_.remote_write.labels;
+    auto remote_write = options.remote_write;
+    if (remote_write.url.empty()) remote_write.url = options_.remote_write.url;
+    const bool sending = driver_ != nullptr;
+    if (sending && relabelled && gauges_)   // the series of the old labels end here
+        push(std::vector<double>(layout_->series.size(), remotewrite::stale_marker()), true);
+    if (sending) {
+        options_.remote_write = remote_write;
+        lay_out();
+        driver_->configure(remote_write);
+        next_ = std::min(next_, net::now() + remote_write.interval_s);
+        tick();
+    }
+    options_.log = options.log;
+    log_.write(Log::Level::info, net::now(), "reloaded: the operator's file%s%s",
+               later.empty() ? "" : "; after the next start: ", later.c_str());
+}
+
+void Telemetry::stop(std::function<void()> done) {
+    timer_.disarm();
+    if (!driver_ || !gauges_) return done();
+    sample();
+    // Without a home the counters end here, and what comes after a start is another series' begin.
+    if (!directory_) push(std::vector<double>(layout_->series.size(), remotewrite::stale_marker()), true);
+    driver_->finish(kStopMost, std::move(done));
+}
+
+void Telemetry::on_finish(const ingress::Finish& f) {
+    const consumer::Invocation& i = f.invocation;
+    metrics::Finished finished;
+    finished.service_class = measures_->find_class(i.service_class);
+    finished.plan = measures_->find_plan(i.plan);
+    finished.ending = static_cast<metrics::Ending>(f.how);
+    finished.reason = f.refusal;
+    finished.seconds = f.seconds;
+    finished.units = i.units;
+    const double worth = measures_->finished(finished);
+    if (!log_.wants_record(f.how == ingress::Finish::How::served)) return;
+    RequestRecord record;
+    record.id = i.request_id;
+    record.service_class = i.service_class;
+    record.plan = i.plan;
+    record.outcome = metrics::kEndings[static_cast<std::size_t>(f.how)];
+    record.reason = f.reason;
+    record.provider = f.provider;
+    record.customer = i.customer;
+    record.attempts = f.attempts;
+    record.seconds = f.seconds;
+    record.worth = worth;
+    log_.record(record);
+}
+
+void Telemetry::on_attempt(slatejunction::Outcome outcome) {
+    measures_->add(Id::attempts, static_cast<std::size_t>(outcome));
+}
+void Telemetry::on_quota_report() { quota_report_at_ = net::now(); }
+void Telemetry::on_admitted(double fraction) { measures_->set(Id::admitted_fraction, fraction); }
+void Telemetry::on_bad() { measures_->add(Id::bad_requests); }
+
+}   // namespace slatejunction::telemetry
--- /dev/null
+++ b/src/telemetry/telemetry.hpp
@@ -0,0 +1,67 @@
+// Counts and records what the ingress tells, samples it at each interval and hands it to remote write.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "config/config.hpp"
+#include "ingress/observer.hpp"
+#include "log/log.hpp"
+#include "metrics/measures.hpp"
+#include "net/timers.hpp"
+#include "operator/options.hpp"
+#include "remotewrite/driver.hpp"
+#include "store/store.hpp"
+
+namespace slatejunction::telemetry {
+
+class Telemetry final : public ingress::Observer {
+  public:
+    // Throws store::Error when the state directory can't be used.
+    Telemetry(const operating::Options& options, const config::Config& config, std::string version,
+              Log& log);
+    ~Telemetry() override;
+
+    // Where the gauges come from: called at each sample, until stop().
+    void start(std::function<ingress::Gauges()> gauges);
+    // Takes new options. What waits for the next start is named in the log.
+    void reload(const operating::Options& options);
+    // The last samples: calls `done` once they have been taken, at most kStopMost later.
+    void stop(std::function<void()> done);
+
+    void on_finish(const ingress::Finish& finish) override;
+    void on_attempt(slatejunction::Outcome outcome) override;
+    void on_quota_report() override;
+    void on_admitted(double fraction) override;
+    void on_bad() override;
+
+    const metrics::Measures& measures() const { return *measures_; }
+
+  private:
+    void sample();
+    void tick();
+    void push(std::vector<double> values, bool keep);
+    void count_senders();
+    void lay_out();
+
+    operating::Options options_;
+    const std::string name_, version_;
+    const std::uint64_t seed_;
+    Log& log_;
+    std::optional<store::Directory> directory_;
+    std::optional<metrics::Measures> measures_;
+    net::Timers timers_;
+    net::Timer timer_;
+    std::unique_ptr<remotewrite::Driver> driver_;
+    std::shared_ptr<const remotewrite::Layout> layout_;
+    remotewrite::Tally tally_;   // as far as it has been counted
+    std::uint64_t suppressed_ = 0, lost_ = 0;
+    std::function<ingress::Gauges()> gauges_;
+    std::int64_t last_ms_ = 0;
+    double started_ = 0, quota_report_at_ = 0;
+    double next_ = 0;
+};
+
+}   // namespace slatejunction::telemetry
--- a/src/wirehost.cpp
+++ b/src/wirehost.cpp
@@ -396,6 +396,7 @@
     }
 
     void write(std::int64_t who, const mp::Action& action) {
+        if (std::holds_alternative<mp::Admitted>(action)) return;   // the wire has no word for it
         std::visit(
             [&](const auto& a) {
                 using T = std::decay_t<decltype(a)>;
@@ -420,7 +421,7 @@
                     head("SAMPLE", who, a.server);
                 } else if constexpr (std::is_same_v<T, mp::Listen>) {
                     head("LISTEN", who, a.on ? "1" : "0");
-                } else {
+                } else if constexpr (std::is_same_v<T, mp::Note>) {
                     head("DEBUG", who, a.text);
                 }
             },
