Add stand-ins, alert rules with a checker, and tests that cause the receiver's faults

Need: remote write and its counters must be shown under the failures they are for, without any outside system. Change: slatejunction-standin with provider, directory, remote-write (faults by script or order, a decoder of its own, a count of breaches), load and check-rules; 14 alert rules and the part of PromQL they use; Catch2 tests for ini, log, metrics, store, sender, rules and the whole program; pages on measures, alerts and on-call. A log record with an empty field crashed the JSON form: found and mended.

--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -37,6 +37,7 @@
 
 void put_text(Json& json, const char* key, std::string_view text) {
     json.Key(key);
+    if (text.empty()) return void(json.String(""));
     // Consumers may send any bytes; JSON may not hold all of them.
     const std::unique_ptr<char, decltype(&g_free)> valid(
         g_utf8_make_valid(text.data(), static_cast<gssize>(text.size())), &g_free);
--- a/src/metrics/measures.cpp
+++ b/src/metrics/measures.cpp
@@ -168,7 +168,9 @@
 double Measures::finished(const Finished& r) {
     const ServiceClass& service = shape_.classes[r.service_class];
     const double price = shape_.plans.empty() ? 1 : shape_.plans[r.plan].price;
-    const double offered = service.worth * price * r.units;
+    // What is beyond its quota is asked of nobody: it is neither offered nor lost.
+    const bool surplus = r.ending == Ending::refused && r.reason == kQuota;
+    const double offered = surplus ? 0 : service.worth * price * r.units;
     const bool late = service.aim_s > 0 && r.seconds > service.aim_s;
     const double served = r.ending != Ending::served ? 0 : late ? offered * service.late_worth : offered;
     const std::size_t pair = r.service_class * plans_ + r.plan;
--- a/src/metrics/measures.hpp
+++ b/src/metrics/measures.hpp
@@ -30,7 +30,7 @@
 // The module's reasons by their numbers, and the door's own.
 inline constexpr std::array<std::string_view, 8> kReasons{
     "quota", "ceiling", "fraction", "open_work", "no_provider", "attempts", "malformed", "open_limit"};
-inline constexpr std::size_t kOpenLimit = 7;
+inline constexpr std::size_t kQuota = 0;
 
 // By slatejunction::Outcome.
 inline constexpr std::array<std::string_view, 8> kOutcomes{
--- a/src/metrics/table.hpp
+++ b/src/metrics/table.hpp
@@ -60,7 +60,7 @@
     {"slatejunction_refusals_total", Type::counter, "requests", "class,plan,reason",
      "Refused requests by what refused them."},
     {"slatejunction_worth_offered_total", Type::counter, "worth", "class,plan",
-     "Worth of finished requests: class worth x plan price x units; a client's retry counts anew."},
+     "Worth (class worth x plan price x units) of finished requests but those refused as beyond a quota."},
     {"slatejunction_worth_served_total", Type::counter, "worth", "class,plan",
      "Worth earned by answers: all of it within the aim, the class's late part after it."},
     {"slatejunction_worth_lost_total", Type::counter, "worth", "class,plan",
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -42,6 +42,7 @@
     void adopt(Ref<GSocket> socket);      // an accepted connection
     bool dial(GSocketAddress* address);   // on_open or on_end follows; false: it failed at once
     bool open() const { return socket_ != nullptr; }
+    int descriptor() const { return socket_ ? g_socket_get_fd(socket_.get()) : -1; }
     bool readable() const;   // something has come, be it the end
     void resume() override;
     bool send(std::span<const std::string_view> parts) override;
--- /dev/null
+++ b/standins/main.cpp
@@ -0,0 +1,269 @@
+// slatejunction-standin: what the ingress talks to, one sub-command each, on loopback addresses.
+#include <glib-unix.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "directory.hpp"
+#include "load.hpp"
+#include "provider.hpp"
+#include "receiver_server.hpp"
+#include "recording.hpp"
+#include "rules.hpp"
+
+namespace {
+
+namespace net = slatejunction::net;
+
+constexpr int kBadUse = 2;
+
+struct Common {
+    double seconds = 0;    // until it ends by itself; 0: until SIGTERM
+    std::string control;   // where it takes orders; empty: nowhere
+    std::string report;    // a file for the summary beside standard output
+};
+
+// The loop, its end by time or signal, and orders over HTTP: GET /stats, POST /WORD/... by the owner.
+class Stage {
+  public:
+    explicit Stage(const Common& common) : common_(common), loop_(g_main_loop_new(nullptr, FALSE)) {}
+    net::Timers& timers() { return timers_; }
+    void quit() { g_main_loop_quit(loop_.get()); }
+    // `order` takes the path of an order and returns what is wrong with it.
+    int run(const std::function<std::string()>& summary,
+            const std::function<std::string(const std::string&)>& order) {
+        standin::Server control(timers_, [&](const auto& client, standin::Request& request) {
+            if (request.target == "/stats") return client->answer(200, summary());
+            const std::string why = order(request.target);
+            client->answer(why.empty() ? 200 : 400, why);
+        });
+        std::string why;
+        if (!common_.control.empty() && !control.start(common_.control, why)) return fail(why);
+        net::Timer end(timers_, [this] { quit(); });
+        if (common_.seconds > 0) end.arm(net::now() + common_.seconds);
+        for (const int number : {SIGTERM, SIGINT})
+            g_unix_signal_add(
+                number,
+                [](gpointer loop) -> gboolean {
+                    g_main_loop_quit(static_cast<GMainLoop*>(loop));
+                    return G_SOURCE_CONTINUE;
+                },
+                loop_.get());
+        g_main_loop_run(loop_.get());
+        std::printf("%s\n", summary().c_str());
+        if (!common_.report.empty()) std::ofstream(common_.report, std::ios::trunc) << summary() << "\n";
+        return 0;
+    }
+    static int fail(const std::string& why) {
+        std::fprintf(stderr, "error: %s\n", why.c_str());
+        return kBadUse;
+    }
+
+  private:
+    const Common& common_;
+    net::Loop loop_;
+    net::Timers timers_;
+};
+
+// "/fault/status/503/2" => "status 503 2"
+std::string words_of(std::string path, const std::string& prefix) {
+    if (!path.starts_with(prefix)) return {};
+    path.erase(0, prefix.size());
+    std::replace(path.begin(), path.end(), '/', ' ');
+    return path;
+}
+
+int run_provider(const Common& common, const standin::ProviderSettings& settings) {
+    Stage stage(common);
+    standin::Provider provider(stage.timers(), settings);
+    std::string why;
+    if (!provider.start(why)) return Stage::fail(settings.listen + ": " + why);
+    return stage.run([&] { return provider.summary(); },
+                     [](const std::string&) { return "no such order"; });
+}
+
+int run_directory(const Common& common, const std::string& listen,
+                  const std::vector<std::string>& members) {
+    std::vector<standin::Directory::Member> all;
+    for (const std::string& one : members) {
+        const std::size_t mark = one.find('=');
+        if (mark == std::string::npos) return Stage::fail("'" + one + "' is not ID=ADDRESS:PORT");
+        all.push_back({one.substr(0, mark), one.substr(mark + 1)});
+    }
+    Stage stage(common);
+    standin::Directory directory(stage.timers(), listen, all);
+    std::string why;
+    if (!directory.start(why)) return Stage::fail(listen + ": " + why);
+    return stage.run(
+        [&] { return directory.summary(); },
+        [&](const std::string& path) -> std::string {   // /phase/ID/PHASE
+            const std::string words = words_of(path, "/phase/");
+            const std::size_t mark = words.find(' ');
+            if (mark == std::string::npos) return "no such order";
+            return directory.set(words.substr(0, mark), words.substr(mark + 1)) ? "" : "no such provider";
+        });
+}
+
+int run_receiver(const Common& common, const std::string& listen, bool v1_only,
+                 const std::vector<std::string>& script, const std::string& out) {
+    std::vector<standin::Step> steps;
+    for (const std::string& one : script) {
+        const std::size_t mark = one.find(' ');
+        if (mark == std::string::npos) return Stage::fail("'" + one + "' is not 'SECONDS FAULT'");
+        steps.push_back({std::stod(one.substr(0, mark)), standin::read_fault(one.substr(mark + 1))});
+    }
+    Stage stage(common);
+    standin::ReceiverServer receiver(stage.timers(), listen, v1_only, steps);
+    std::string why;
+    if (!receiver.start(why)) return Stage::fail(listen + ": " + why);
+    const int status =
+        stage.run([&] { return receiver.summary(); },
+                  [&](const std::string& path) -> std::string {
+                      if (path == "/write" && !out.empty()) {
+                          standin::write_recording(standin::recording_of(receiver.receiver()), out);
+                          return "";
+                      }
+                      const std::string words = words_of(path, "/fault/");
+                      if (words.empty()) return "no such order";
+                      try {
+                          std::string fault;
+                          return receiver.set(standin::read_fault(words), fault) ? "" : fault;
+                      } catch (const std::exception& bad) {
+                          return bad.what();
+                      }
+                  });
+    if (!out.empty()) standin::write_recording(standin::recording_of(receiver.receiver()), out);
+    return status != 0 ? status : receiver.receiver().breach_count() == 0 ? 0 : 1;
+}
+
+// One line an alert that fired: when, for how long, with which labels.
+int check_rules(const std::string& rules, const std::string& recording, double speed) {
+    const auto all = standin::read_rules(rules, speed);
+    std::printf("%zu rules\n", all.size());
+    if (recording.empty()) return 0;
+    const auto samples = standin::read_recording(recording);
+    double first = 1e18;
+    for (const auto& [key, points] : samples)
+        if (!points.empty()) first = std::min(first, static_cast<double>(points.front().at_ms) / 1e3);
+    for (const standin::Firing& one : standin::evaluate(all, samples)) {
+        std::printf("%s from %.1f s", one.alert.c_str(), one.from_s - first);
+        one.to_s > 0 ? std::printf(" to %.1f s", one.to_s - first) : std::printf(" to the end");
+        for (const auto& [label, value] : one.labels) std::printf(" %s=%s", label.c_str(), value.c_str());
+        std::printf("\n");
+    }
+    return 0;
+}
+
+int run_load(const Common& common, const standin::LoadSettings& settings, const std::string& config) {
+    const slatejunction::directory::UnixClock clock;
+    std::ifstream in(config, std::ios::binary);
+    const std::string text((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+    const auto platform = slatejunction::config::read(text, clock);
+    if (!net::parse_address(settings.target))
+        return Stage::fail("'" + settings.target + "' is no address and port");
+    Stage stage(common);
+    standin::Load load(stage.timers(), settings, platform.settings, [&] { stage.quit(); });
+    load.start();
+    const int status =
+        stage.run([&] { return load.summary(); }, [](const std::string&) { return "no such order"; });
+    if (settings.progress_s > 0) load.report();
+    return status;
+}
+
+}   // namespace
+
+int main(int argc, char** argv) {
+    std::signal(SIGPIPE, SIG_IGN);
+    CLI::App app("Stand-ins for what the ingress talks to, for its demo, tests and measurements.",
+                 "slatejunction-standin");
+    app.require_subcommand(1, 1);
+    Common common;
+    const auto shared = [&common](CLI::App* command) {
+        command->add_option("--seconds", common.seconds, "ends by itself after so long; 0: on SIGTERM")
+            ->capture_default_str();
+        command->add_option("--control", common.control, "ADDRESS:PORT for GET /stats and orders");
+        command->add_option("--report", common.report, "a file for the summary at the end");
+    };
+
+    standin::ProviderSettings provider;
+    auto* providing = app.add_subcommand("provider", "a provider with cores, a queue and service times");
+    shared(providing);
+    providing->add_option("--listen", provider.listen, "ADDRESS:PORT")->required();
+    providing->add_option("--id", provider.id, "its name in answers")->capture_default_str();
+    providing->add_option("--cores", provider.cores, "requests worked on at once")->capture_default_str();
+    providing->add_option("--read-ms", provider.read_ms, "mean work of a GET")->capture_default_str();
+    providing->add_option("--write-ms", provider.write_ms, "mean work of a POST")->capture_default_str();
+    providing->add_option("--spread", provider.spread, "part of the mean, to either side")
+        ->capture_default_str();
+    providing->add_option("--queue", provider.queue, "requests that may wait")->capture_default_str();
+    providing->add_option("--used", provider.used, "percent of its quota that each customer has used")
+        ->capture_default_str();
+    providing->add_option("--seed", provider.seed, "of the service times")->capture_default_str();
+
+    std::string listen;
+    std::vector<std::string> members;
+    auto* directing = app.add_subcommand("directory", "the list of providers; order: POST /phase/ID/PHASE");
+    shared(directing);
+    directing->add_option("--listen", listen, "ADDRESS:PORT")->required();
+    directing->add_option("--member", members, "ID=ADDRESS:PORT, once for each provider");
+
+    bool v1_only = false;
+    std::vector<std::string> script;
+    std::string out;
+    auto* receiving = app.add_subcommand(
+        "remote-write",
+        "a remote write receiver that checks the protocol; exit status 1 on a breach.\n"
+        "Faults: none, refuse, hang, status N [RETRY_AFTER], lost, cut N, trickle, huge, close,\n"
+        "reset; orders: POST /fault/NAME/ARGUMENT, POST /write");
+    shared(receiving);
+    receiving->add_option("--listen", listen, "ADDRESS:PORT")->required();
+    receiving->add_flag("--v1-only", v1_only, "answers 415 to protocol 2.0");
+    receiving->add_option("--at", script, "'SECONDS FAULT', once for each change")->expected(1)->take_all();
+    receiving->add_option("--out", out, "a file for all samples at the end");
+
+    std::string rules, recording;
+    double speed = 1;
+    auto* checking =
+        app.add_subcommand("check-rules", "reads alert rules and evaluates them over a recording");
+    checking->add_option("--rules", rules, "a rule file")->required();
+    checking->add_option("--recording", recording, "what remote-write --out has written");
+    checking->add_option("--speed", speed, "all durations of the rules are divided by it")
+        ->capture_default_str();
+
+    standin::LoadSettings load;
+    std::string config;
+    auto* loading = app.add_subcommand("load", "an open loop of requests");
+    shared(loading);
+    loading->add_option("--target", load.target, "the ingress: ADDRESS:PORT")->required();
+    loading->add_option("--config", config, "the ingress's configuration, for its classes and plans")
+        ->required();
+    loading->add_option("--rate", load.rate, "requests a second")->capture_default_str();
+    loading->add_option("--duration", load.seconds, "seconds of requests")->capture_default_str();
+    loading->add_option("--customers", load.customers, "so many")->capture_default_str();
+    loading->add_option("--write-part", load.write_part, "part of the requests that may run once only")
+        ->capture_default_str();
+    loading->add_option("--seed", load.seed, "of times, customers and classes")->capture_default_str();
+    loading->add_option("--prefix", load.prefix, "of the requests' ids")->capture_default_str();
+    loading->add_option("--progress", load.progress_s, "seconds between lines of progress; 0: none")
+        ->capture_default_str();
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& bad) {
+        if (bad.get_exit_code() == 0) return app.exit(bad);
+        return Stage::fail(bad.what());
+    }
+    try {
+        if (*providing) return run_provider(common, provider);
+        if (*directing) return run_directory(common, listen, members);
+        if (*receiving) return run_receiver(common, listen, v1_only, script, out);
+        if (*checking) return check_rules(rules, recording, speed);
+        return run_load(common, load, config);
+    } catch (const std::exception& fault) {
+        return Stage::fail(fault.what());
+    }
+}
--- /dev/null
+++ b/standins/recording.hpp
@@ -0,0 +1,22 @@
+// What a receiver has stored, as a text file: for the rule checker, for sums, and to be kept as a test's
+// recording. The times of all samples in one line, then one line a series with its figures in that order;
+// VALUE*N stands for N equal ones, - for none.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "receiver.hpp"
+
+namespace standin {
+
+using Recording = std::map<SeriesKey, std::vector<Point>>;   // points by time
+
+Recording recording_of(const Receiver& receiver);
+void write_recording(const Recording& recording, const std::string& path);
+// Throws std::runtime_error that names the line.
+Recording read_recording(const std::string& path);
+bool is_stale(double value);   // the marker that ends a series
+
+}   // namespace standin
--- /dev/null
+++ b/tests/metrics/measures_test.cpp
@@ -0,0 +1,121 @@
+// The measures: one table, bounded series, sums that agree with each other.
+#include "metrics/measures.hpp"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+#include "files.hpp"
+
+namespace metrics = slatejunction::metrics;
+using metrics::Ending;
+using metrics::Id;
+using metrics::Measures;
+
+namespace {
+
+Measures::Shape shape() {
+    slatejunction::ServiceClass read{"risk-read", 1.5, 4}, send{"warn-send", 5, 12};
+    read.worth = 2, read.late_worth = 0.2;
+    send.worth = 6, send.late_worth = 0.1;
+    slatejunction::Plan basis{"basis"}, plus{"plus"};
+    basis.price = 0.8, plus.price = 1.2;
+    return {{read, send}, {basis, plus}};
+}
+
+std::map<std::string, double> sampled(const Measures& measures) {
+    std::vector<double> values;
+    measures.sample(values);
+    REQUIRE(values.size() == measures.series().size());
+    std::map<std::string, double> all;
+    for (std::size_t i = 0; i < values.size(); ++i) {
+        std::string name = measures.series()[i].name;
+        for (const auto& [label, value] : measures.series()[i].labels) name += " " + label + "=" + value;
+        REQUIRE(all.emplace(name, values[i]).second);
+    }
+    return all;
+}
+
+}   // namespace
+
+TEST_CASE("the page of measures is the table") {
+    std::ifstream in(SOURCE "/docs/metrics.md");
+    const std::string page((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+    CHECK(page.find(metrics::markdown()) != std::string::npos);
+    std::set<std::string_view> names;
+    for (const auto& family : metrics::kFamilies) {
+        INFO(family.name);
+        CHECK(names.insert(family.name).second);
+        CHECK(family.name.starts_with("slatejunction_"));
+        CHECK((family.type == metrics::Type::counter) == family.name.ends_with("_total"));
+        CHECK_FALSE(family.help.empty());
+    }
+}
+
+TEST_CASE("a finished request moves its count, worth and duration") {
+    Measures measures(shape(), 1000);
+    const double served = measures.finished({0, 1, Ending::served, 0, 0.3, 2});
+    CHECK(served == Approx(2 * 1.2 * 2));
+    CHECK(measures.finished({1, 0, Ending::served, 0, 6, 1}) == Approx(6 * 0.8 * 0.1));   // late
+    CHECK(measures.finished({1, 0, Ending::refused, 3, 0.001, 1}) == 0);
+    CHECK(measures.finished({1, 0, Ending::failed, 0, 1.5, 1}) == 0);
+    auto all = sampled(measures);
+    CHECK(all["slatejunction_requests_total class=risk-read plan=plus outcome=served"] == 1);
+    CHECK(all["slatejunction_requests_total class=warn-send plan=basis outcome=refused"] == 1);
+    CHECK(all["slatejunction_refusals_total class=warn-send plan=basis reason=open_work"] == 1);
+    CHECK(all["slatejunction_worth_offered_total class=warn-send plan=basis"] == Approx(3 * 4.8));
+    CHECK(all["slatejunction_worth_lost_total class=warn-send plan=basis"] == Approx(3 * 4.8 - 0.48));
+    CHECK(all["slatejunction_request_duration_seconds_bucket class=risk-read outcome=served le=0.25"] == 0);
+    CHECK(all["slatejunction_request_duration_seconds_bucket class=risk-read outcome=served le=0.5"] == 1);
+    CHECK(all["slatejunction_request_duration_seconds_bucket class=risk-read outcome=served le=1.5"] == 1);
+    CHECK(all["slatejunction_request_duration_seconds_bucket class=warn-send outcome=failed le=1.5"] == 1);
+    CHECK(all["slatejunction_request_duration_seconds_bucket class=warn-send outcome=failed le=1"] == 0);
+    CHECK(all["slatejunction_request_duration_seconds_count class=warn-send outcome=served"] == 1);
+    CHECK(all["slatejunction_request_duration_seconds_sum class=warn-send outcome=served"] == 6);
+}
+
+TEST_CASE("whatever comes, refusals, durations and worth agree with the requests") {
+    Measures measures(shape(), 1000);
+    std::mt19937 random(7);
+    for (int i = 0; i < 5000; ++i)
+        measures.finished({random() % 2, random() % 2, static_cast<Ending>(random() % 3), random() % 8,
+                           1e-3 * (random() % 20000), 1.0 + random() % 3});
+    double requests = 0, refused = 0, refusals = 0, counts = 0, infinite = 0;
+    double offered = 0, earned = 0;
+    for (const auto& [name, value] : sampled(measures)) {
+        if (name.starts_with("slatejunction_requests_total")) requests += value;
+        if (name.starts_with("slatejunction_requests_total") && name.ends_with("=refused"))
+            refused += value;
+        if (name.starts_with("slatejunction_refusals_total")) refusals += value;
+        if (name.starts_with("slatejunction_request_duration_seconds_count")) counts += value;
+        if (name.ends_with("le=+Inf")) infinite += value;
+        if (name.starts_with("slatejunction_worth_offered_total")) offered += value;
+        if (name.starts_with("slatejunction_worth_served_total")) earned += value;
+        if (name.starts_with("slatejunction_worth_lost_total")) earned += value;
+    }
+    CHECK(requests == 5000);
+    CHECK(counts == 5000);
+    CHECK(infinite == 5000);
+    CHECK(refused == refusals);
+    CHECK(offered == Approx(earned));
+}
+
+TEST_CASE("counters go on in a file over a restart, and with classes and plans that change") {
+    const Folder folder;
+    {
+        Measures measures(shape(), 1000, folder.file("counters"));
+        measures.finished({0, 1, Ending::served, 0, 0.3, 1});
+        measures.sampled(5000);
+    }
+    Measures::Shape other = shape();
+    other.plans.erase(other.plans.begin());   // plus is now the first
+    other.classes[0].aim_s = 2.5;
+    Measures measures(other, 9000, folder.file("counters"));
+    auto all = sampled(measures);
+    CHECK(all["slatejunction_requests_total class=risk-read plan=plus outcome=served"] == 1);
+    CHECK(measures.cells().dropped() > 0);
+    CHECK(measures.cells().created_ms() == 1000);
+    CHECK(measures.last_sample_ms() == 5000);
+}
--- /dev/null
+++ b/tests/parts_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/telemetry/site.hpp
@@ -0,0 +1,131 @@
+// A whole site on loopback: the program, its directory, providers and receiver, each a process.
+#pragma once
+
+#include <rapidjson/document.h>
+
+#include <map>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "files.hpp"
+#include "process.hpp"
+#include "recording.hpp"
+
+class Site {
+  public:
+    explicit Site(const std::string& more = "", bool v1_only = false) {
+        write_options(more);
+        std::vector<std::string> words{STANDIN, "directory", "--listen", address_of(directory_port)};
+        for (int i = 0; i < 2; ++i) {
+            const std::string id = "s-" + std::to_string(i), at = address_of(free_port());
+            providers_.push_back(Process({STANDIN, "provider", "--id", id, "--listen", at, "--read-ms", "3",
+                                          "--write-ms", "6", "--used", "40", "--queue", "20"},
+                                         "", ""));
+            words.insert(words.end(), {"--member", id + "=" + at});
+        }
+        directory_ = Process(words, "", "");
+        std::vector<std::string> receiver{
+            STANDIN,     "remote-write",           "--listen", address_of(receiver_port),
+            "--control", address_of(control_port), "--out",    folder.file("samples")};
+        if (v1_only) receiver.push_back("--v1-only");
+        receiver_ = Process(receiver, folder.file("receiver"), "");
+        REQUIRE(wait_for([&] { return !ask(control_port, "GET", "/stats").empty(); }));
+        std::ifstream in(std::string(EXCHANGES) + "/config.json");
+        std::string config((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+        const auto change = [&](const std::string& from, const std::string& to) {
+            const std::size_t at = config.find(from);
+            REQUIRE(at != std::string::npos);
+            config.replace(at, from.size(), to);
+        };
+        change("\"listen\": \"127.0.0.1:1\"", "\"listen\": \"" + address_of(port) + "\"");
+        change("\"discovery\": \"127.0.0.1:1\"", "\"discovery\": \"" + address_of(directory_port) + "\"");
+        change("$PROVIDER", address_of(1));
+        change("{\"Name\": \"plus\"",
+               "{\"Name\": \"pro\", \"UnitsPerS\": 9, \"Depth\": 20, \"Price\": 2}, "
+               "{\"Name\": \"plus\"");
+        folder.write("config.json", config);
+        start();
+    }
+
+    void write_options(const std::string& more) {
+        folder.write("operator.ini", "[log]\nformat = json\nrequests = all\n[remote_write]\nurl = http://" +
+                                         address_of(receiver_port) +
+                                         "/api/v1/write\ninterval_s = 0.1\ntimeout_s = 0.4\n" + more);
+    }
+    std::vector<std::string> command(const std::string& what = "serve") const {
+        return {PROGRAM,      what,
+                "--config",   folder.file("config.json"),
+                "--operator", folder.file("operator.ini")};
+    }
+    void start() {
+        ingress = Process(command(), "", folder.file("log"));
+        REQUIRE(wait_for([&] { return ask(port, "GET", "/health/ready").starts_with("HTTP/1.1 200"); }));
+    }
+    // Starts a load that ends by itself.
+    Process load(double rate, double seconds, const std::string& prefix) const {
+        return Process(
+            {STANDIN, "load", "--target", address_of(port), "--config", folder.file("config.json"),
+             "--rate", std::to_string(rate), "--duration", std::to_string(seconds), "--progress", "0",
+             "--prefix", prefix, "--seed", "7", "--customers", "20"},
+            folder.file("load"), "");
+    }
+    void fault(const std::string& path) const {
+        REQUIRE(ask(control_port, "POST", "/fault/" + path).starts_with("HTTP/1.1 200"));
+    }
+    std::size_t stat(const std::string& name) const {
+        const std::string text = ask(control_port, "GET", "/stats");
+        const std::size_t at = text.find("\"" + name + "\":");
+        return at == std::string::npos ? 0 : std::stoul(text.substr(at + name.size() + 3));
+    }
+    standin::Recording samples() const {
+        REQUIRE(ask(control_port, "POST", "/write").starts_with("HTTP/1.1 200"));
+        return standin::read_recording(folder.file("samples"));
+    }
+    // Finished requests by "CLASS PLAN OUTCOME" and by "CLASS PLAN REASON", as the log has them.
+    std::map<std::string, double> logged() const {
+        std::map<std::string, double> counts;
+        std::istringstream lines(folder.read("log"));
+        for (std::string line; std::getline(lines, line);) {
+            rapidjson::Document json;
+            if (json.Parse(line.c_str()).HasParseError() || !json.HasMember("outcome")) continue;
+            const std::string key =
+                std::string(json["class"].GetString()) + " " + json["plan"].GetString() + " ";
+            counts[key + json["outcome"].GetString()] += 1;
+            if (std::string(json["outcome"].GetString()) == "refused")
+                counts[key + "(" + json["reason"].GetString() + ")"] += 1;
+        }
+        return counts;
+    }
+    // The same from the last sample of each series; those that stand at 0 are left out. Of a series that
+    // has ended, the figure before its end.
+    static std::map<std::string, double> counted(const standin::Recording& recording) {
+        std::map<std::string, double> counts;
+        for (const auto& [key, points] : recording) {
+            std::map<std::string, std::string> labels(key.begin(), key.end());
+            const std::string& name = labels["__name__"];
+            const bool requests = name == "slatejunction_requests_total";
+            if ((!requests && name != "slatejunction_refusals_total") || points.empty()) continue;
+            double value = 0;
+            for (const standin::Point& point : points)
+                if (!standin::is_stale(point.value)) value = point.value;
+            const std::string what = requests ? labels["outcome"] : "(" + labels["reason"] + ")";
+            if (value > 0) counts[labels["class"] + " " + labels["plan"] + " " + what] += value;
+        }
+        return counts;
+    }
+    void no_breaches() {
+        const std::string text = ask(control_port, "GET", "/stats");
+        INFO(text);
+        CHECK(text.find("\"breaches\":0") != std::string::npos);
+    }
+
+    Folder folder;
+    const int port = free_port(), directory_port = free_port(), receiver_port = free_port(),
+              control_port = free_port();
+    Process ingress;
+
+  private:
+    std::vector<Process> providers_;
+    Process directory_, receiver_;
+};
--- /dev/null
+++ b/tests/telemetry/telemetry_test.cpp
@@ -0,0 +1,185 @@
+// The program beside a receiver that fails in each of its ways, under load: what arrives in the end is what
+// the log says, the protocol is kept, and requests are served all the while.
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <random>
+
+#include "site.hpp"
+
+namespace {
+
+std::size_t served(const std::map<std::string, double>& counts) {
+    double all = 0;
+    for (const auto& [key, count] : counts)
+        if (key.ends_with(" served")) all += count;
+    return static_cast<std::size_t>(all);
+}
+
+}   // namespace
+
+TEST_CASE("the sums at the receiver are the log's, through each fault of the receiver") {
+    const bool v1 = GENERATE(false, true);
+    Site site("catch_up_samples_per_s = 100000\n", v1);
+    Process load = site.load(60, 8, v1 ? "a" : "b");
+    for (const char* fault : {"refuse", "hang", "status/429/0", "status/500", "lost", "cut/200", "trickle",
+                              "huge", "close", "reset", "status/503"}) {
+        site.fault(fault);
+        sleep_s(0.5);
+        site.fault("none");
+        sleep_s(0.15);
+    }
+    REQUIRE(load.wait() == 0);
+    const std::size_t before = site.stat("batches");
+    REQUIRE(wait_for([&] { return site.stat("batches") > before + 3; }));
+    REQUIRE(site.ingress.end(SIGTERM) == 0);
+    const auto logged = site.logged();
+    CHECK(served(logged) > 300);
+    CHECK(Site::counted(site.samples()) == logged);
+    site.no_breaches();
+    // Without a state directory all series end with the stop.
+    for (const auto& [key, points] : site.samples()) REQUIRE(standin::is_stale(points.back().value));
+}
+
+TEST_CASE("counters go on over kills and planned restarts, neither reset nor doubled") {
+    Site site;
+    const std::string more = "[state]\ndirectory = " + site.folder.file("state") + "\n";
+    std::filesystem::create_directory(site.folder.file("state"));
+    REQUIRE(site.ingress.end(SIGTERM) == 0);
+    site.folder.write("log", "");
+    site.write_options(more);
+    site.start();
+    std::mt19937 random(20261201);
+    int kills = 0;
+    for (int round = 0; round < 4; ++round) {
+        Process load = site.load(80, 0.9, "r" + std::to_string(round) + "-");
+        sleep_s(0.3 + 0.001 * (random() % 300));
+        if (round % 2 == 0) {
+            REQUIRE(site.ingress.end(SIGKILL) == 128 + SIGKILL);
+            ++kills;
+        } else {
+            REQUIRE(site.ingress.end(SIGTERM) == 0);
+        }
+        site.start();
+        load.wait();
+    }
+    const std::size_t before = site.stat("batches");
+    REQUIRE(wait_for([&] { return site.stat("batches") > before + 3; }));
+    REQUIRE(site.ingress.end(SIGTERM) == 0);
+    const auto logged = site.logged();
+    const auto samples = site.samples();
+    auto counted = Site::counted(samples);
+    // The figure moves before the log's line is written: a kill between the two leaves it one ahead.
+    double ahead = 0;
+    for (const auto& [key, count] : counted) {
+        const auto at = logged.find(key);
+        const double lines = at == logged.end() ? 0 : at->second;
+        REQUIRE(count >= lines);
+        ahead += count - lines;
+    }
+    CHECK(ahead <= 2 * kills);
+    CHECK(served(logged) > 100);
+    for (const auto& [key, count] : logged) REQUIRE(counted[key] >= count);
+    site.no_breaches();
+    // No counter ever ran back, and none of these series ended.
+    for (const auto& [key, points] : samples) {
+        const std::string name = std::map<std::string, std::string>(key.begin(), key.end())["__name__"];
+        if (!name.ends_with("_total") || points.empty()) continue;
+        if (name != "slatejunction_requests_total" && name != "slatejunction_starts_total") continue;
+        bool ended = false;   // the first process, which had no directory
+        double value = 0;
+        for (const standin::Point& point : points) {
+            if (standin::is_stale(point.value)) {
+                REQUIRE_FALSE(ended);
+                ended = true;
+                value = 0;
+                continue;
+            }
+            REQUIRE(point.value >= value);
+            value = point.value;
+        }
+    }
+}
+
+TEST_CASE("SIGHUP moves url, labels and interval under load, and nothing of a bad file is taken") {
+    Site site;
+    Process load = site.load(60, 4, "h");
+    sleep_s(0.5);
+    // A file with a fault: told, and all stays as it is.
+    site.folder.write("operator.ini", "[remote_write]\nurl = nowhere\ninterval_s = 0.1\nx = 1\n");
+    site.ingress.signal(SIGHUP);
+    REQUIRE(wait_for([&] {
+        return site.folder.read("log").find("[remote_write] x: unknown key") != std::string::npos;
+    }));
+    const std::size_t batches = site.stat("batches");
+    REQUIRE(wait_for([&] { return site.stat("batches") > batches + 2; }));
+    // New labels and another interval.
+    site.write_options("labels = zone=b, instance=other\n");
+    site.ingress.signal(SIGHUP);
+    REQUIRE(wait_for([&] {
+        return site.folder.read("log").find("reloaded: the operator's file") != std::string::npos;
+    }));
+    sleep_s(0.5);
+    // Another receiver.
+    const int port = free_port(), control = free_port();
+    Process receiver(
+        {STANDIN, "remote-write", "--listen", address_of(port), "--control", address_of(control)}, "", "");
+    REQUIRE(wait_for([&] { return !ask(control, "GET", "/stats").empty(); }));
+    site.folder.write("operator.ini",
+                      "[log]\nformat = json\nrequests = all\n[remote_write]\nurl = http://" +
+                          address_of(port) + "/\ninterval_s = 0.1\nlabels = zone=b, instance=other\n");
+    site.ingress.signal(SIGHUP);
+    REQUIRE(wait_for([&] {
+        const std::string text = ask(control, "GET", "/stats");
+        return text.find("\"batches\":0,") == std::string::npos && !text.empty();
+    }));
+    REQUIRE(load.wait() == 0);
+    REQUIRE(site.ingress.end(SIGTERM) == 0);
+    site.no_breaches();
+    CHECK(ask(control, "GET", "/stats").find("\"breaches\":0") != std::string::npos);
+    // The series of the old labels have ended; those of the new ones stand beside them.
+    bool old_ended = true, fresh = false;
+    for (const auto& [key, points] : site.samples()) {
+        const std::map<std::string, std::string> labels(key.begin(), key.end());
+        if (labels.at("instance") == "other") fresh = true;
+        if (labels.at("instance") == "n0") old_ended = old_ended && standin::is_stale(points.back().value);
+    }
+    CHECK(old_ended);
+    CHECK(fresh);
+    CHECK(served(site.logged()) > 200);
+}
+
+TEST_CASE("a state directory that can't be used ends the start with status 2 and one line") {
+    Site site;
+    std::filesystem::create_directory(site.folder.file("state"));
+    const auto refused = [&](const std::string& more, const std::string& why) {
+        site.write_options(more);
+        site.folder.write("err", "");
+        Process second(site.command(), "", site.folder.file("err"));
+        INFO(site.folder.read("err"));
+        CHECK(second.wait() == 2);
+        CHECK(site.folder.read("err").find(why) != std::string::npos);
+    };
+    refused("[state]\ndirectory = " + site.folder.file("absent") + "\n", "absent can't be written");
+    site.ingress.end(SIGTERM);
+    site.write_options("[state]\ndirectory = " + site.folder.file("state") + "\n");
+    site.start();
+    refused("[state]\ndirectory = " + site.folder.file("state") + "\n", "is in use by another process");
+    refused("[statee]\ndirectory = x\n[log]\nlevel = loud\n", "[statee]: unknown section");
+    CHECK(site.folder.read("err").find("[log]") != std::string::npos);
+}
+
+TEST_CASE("a state file that was cut is set aside, told, and counters begin at 0") {
+    Site site;
+    std::filesystem::create_directory(site.folder.file("state"));
+    site.ingress.end(SIGTERM);
+    site.folder.write("state/counters", "not figures");
+    site.folder.write("log", "");
+    site.write_options("[state]\ndirectory = " + site.folder.file("state") + "\n");
+    site.start();
+    CHECK(site.folder.read("log").find("a broken file was put aside as") != std::string::npos);
+    CHECK(site.folder.read("state/counters.broken-1") == "not figures");
+    site.ingress.end(SIGKILL);
+    Process reader({PROGRAM, "counters", site.folder.file("state")}, site.folder.file("out"), "");
+    CHECK(reader.wait() == 0);
+    CHECK(site.folder.read("out").find("slatejunction_starts_total 1\n") != std::string::npos);
+}
