Keep the remote write backlog in a folder too; a demo and a test command for new machines

Need: samples that wait must outlive the process where an operator gives a folder, and a new machine must be served by two commands.

--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -46,7 +46,7 @@
     net::Stream stream{*this};
 };
 
-Ingress::Ingress(config::Config config, const directory::UnixClock& clock, Log& log,
+Ingress::Ingress(config::Config config, const directory::UnixClock& clock, net::Timers& timers, Log& log,
                  std::function<void()> done, Observer* observer)
     : clock_(clock),
       log_(log),
@@ -55,6 +55,7 @@
       config_(std::move(config)),
       consumer_bytes_(bytes_of(config_)),
       provider_bytes_(bytes_of(config_)),
+      timers_(timers),
       module_timer_(timers_, [this] { timers_due(); }),
       sweep_timer_(timers_, [this] { sweep(); }),
       gateway_(config_.settings, config_.seed),
--- a/src/ingress/ingress.hpp
+++ b/src/ingress/ingress.hpp
@@ -22,8 +22,8 @@
 class Ingress final : consumer::SessionHost, provider::CallHost, directory::WatchHost {
   public:
     // `observer`: empty where nobody counts; else it lives longer.
-    Ingress(config::Config config, const directory::UnixClock& clock, Log& log, std::function<void()> done,
-            Observer* observer = nullptr);
+    Ingress(config::Config config, const directory::UnixClock& clock, net::Timers& timers, Log& log,
+            std::function<void()> done, Observer* observer = nullptr);
     ~Ingress();
     bool start(std::string& why);
     void stop();   // finishes what was taken, then calls `done`
@@ -90,7 +90,7 @@
     Observer* const observer_;
     config::Config config_;
     http::Budget consumer_bytes_, provider_bytes_;   // live longer than all that holds bytes
-    net::Timers timers_;
+    net::Timers& timers_;
     net::Timer module_timer_, sweep_timer_;
     slatejunction::Gateway gateway_;
     std::deque<slatejunction::Event> events_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -110,13 +110,15 @@
     const sj::net::Loop loop(g_main_loop_new(nullptr, FALSE));
     sj::config::Config config = sj::config::load(files.config, clock);
     sj::config::hold_descriptors(config);
+    sj::net::Timers timers;   // one for all: each source of the loop costs every wake-up a look
     // Nothing is made, counted or looked at where the operator's file names nothing of it.
     std::unique_ptr<sj::telemetry::Telemetry> telemetry;
     if (options.collects() || options.log.requests != 0)
-        telemetry = std::make_unique<sj::telemetry::Telemetry>(options, config, SLATEJUNCTION_VERSION, log);
+        telemetry =
+            std::make_unique<sj::telemetry::Telemetry>(options, config, SLATEJUNCTION_VERSION, timers, log);
     const auto quit = [&loop] { g_main_loop_quit(loop.get()); };
     sj::ingress::Ingress ingress(
-        std::move(config), clock, log,
+        std::move(config), clock, timers, log,
         [&] {
             if (telemetry)
                 telemetry->stop(quit);
--- a/src/operator/options.cpp
+++ b/src/operator/options.cpp
@@ -24,6 +24,10 @@
     Options fresh;
     auto sections = fresh.sections();
     std::vector<std::string> faults = ini::read(path, pointers(sections));
+    if (faults.empty() && !fresh.metrics.directory.empty() &&
+        fresh.metrics.directory == fresh.remote_write.backlog_directory)
+        faults.push_back(path +
+                         ": [remote_write] backlog_directory: is [state] directory too; each has its own");
     if (faults.empty()) options = fresh;
     return faults;
 }
--- /dev/null
+++ b/src/remotewrite/backlog.cpp
@@ -0,0 +1,241 @@
+#include "remotewrite/backlog.hpp"
+
+#include <algorithm>
+#include <cstring>
+#include <map>
+#include <string_view>
+#include <vector>
+
+namespace slatejunction::remotewrite {
+namespace {
+
+// Figures in the machine's own order: a folder is read by the machine that wrote it.
+class Out {
+  public:
+    template <class T>
+    Out& put(T value) {
+        bytes.append(reinterpret_cast<const char*>(&value), sizeof value);
+        return *this;
+    }
+    Out& text(std::string_view value) {
+        put(static_cast<std::uint32_t>(value.size()));
+        bytes += value;
+        return *this;
+    }
+    std::string bytes;
+};
+
+class In {
+  public:
+    explicit In(std::string_view bytes) : bytes_(bytes) {}
+    template <class T>
+    T get() {
+        T value{};
+        if (bytes_.size() < sizeof value) {
+            bad = true;
+            return value;
+        }
+        std::memcpy(&value, bytes_.data(), sizeof value);
+        bytes_.remove_prefix(sizeof value);
+        return value;
+    }
+    std::string text() {
+        const auto size = get<std::uint32_t>();
+        if (bad || bytes_.size() < size) {
+            bad = true;
+            return {};
+        }
+        std::string value(bytes_.substr(0, size));
+        bytes_.remove_prefix(size);
+        return value;
+    }
+    std::size_t left() const { return bytes_.size(); }
+    bool bad = false;
+
+  private:
+    std::string_view bytes_;
+};
+
+std::string bytes_of(const Layout& layout) {
+    Out out;
+    out.put(layout.created_ms).put(static_cast<std::uint32_t>(layout.series.size()));
+    for (const Layout::Series& one : layout.series) {
+        out.put(static_cast<std::uint8_t>(one.type)).text(one.family).text(one.help).text(one.unit);
+        out.put(static_cast<std::uint32_t>(one.labels.size()));
+        for (const auto& [name, value] : one.labels) out.text(name).text(value);
+    }
+    return out.bytes;
+}
+
+std::shared_ptr<const Layout> layout_of(std::string_view bytes) {
+    In in(bytes);
+    auto layout = std::make_shared<Layout>();
+    layout->created_ms = in.get<std::int64_t>();
+    const auto series = in.get<std::uint32_t>();
+    for (std::uint32_t i = 0; i < series && !in.bad; ++i) {
+        Layout::Series one;
+        one.type = static_cast<Layout::Type>(in.get<std::uint8_t>());
+        one.family = in.text();
+        one.help = in.text();
+        one.unit = in.text();
+        const auto labels = in.get<std::uint32_t>();
+        for (std::uint32_t k = 0; k < labels && !in.bad; ++k) {
+            std::string name = in.text();
+            one.labels.emplace_back(std::move(name), in.text());
+        }
+        layout->series.push_back(std::move(one));
+    }
+    return in.bad ? nullptr : layout;
+}
+
+std::string bytes_of(const Frame& frame) {
+    Out out;
+    out.put(frame.number).put(frame.at_ms).put(static_cast<std::int32_t>(frame.level));
+    out.put(static_cast<std::uint8_t>(frame.keep));
+    out.bytes.append(reinterpret_cast<const char*>(frame.values.data()),
+                     frame.values.size() * sizeof(double));
+    return out.bytes;
+}
+
+bool read_frame(std::string_view bytes, const std::shared_ptr<const Layout>& layout, Frame& frame) {
+    In in(bytes);
+    frame.number = in.get<std::uint64_t>();
+    frame.at_ms = in.get<std::int64_t>();
+    frame.level = in.get<std::int32_t>();
+    frame.keep = in.get<std::uint8_t>() != 0;
+    frame.layout = layout;
+    if (in.bad || !layout || in.left() != layout->series.size() * sizeof(double)) return false;
+    frame.values.resize(layout->series.size());
+    for (double& value : frame.values) value = in.get<double>();
+    return true;
+}
+
+}   // namespace
+
+Backlog::Backlog(const std::string& path, Sender& sender, store::Journal::Writer writer)
+    : directory_(path), sender_(sender) {
+    std::map<std::uint64_t, Frame> left;                                         // by number
+    std::map<std::string, std::shared_ptr<const Layout>, std::less<>> layouts;   // equal ones once
+    std::shared_ptr<const Layout> layout;
+    std::uint64_t segment = 0, done = 0;
+    const auto visit = [&](std::uint64_t number, std::uint32_t type, std::string_view payload) {
+        if (number != segment) layout.reset();
+        segment = number;
+        if (type == kLayout) {
+            auto at = layouts.find(payload);
+            if (at == layouts.end()) at = layouts.emplace(std::string(payload), layout_of(payload)).first;
+            layout = at->second;
+        } else if (type == kFrame) {
+            Frame frame;
+            if (read_frame(payload, layout, frame)) left[frame.number] = std::move(frame);
+        } else if (type == kDone) {
+            done = std::max(done, In(payload).get<std::uint64_t>());
+        }
+    };
+    journal_ =
+        std::make_unique<store::Journal>(path, "backlog", kSegment, visit, found_, std::move(writer));
+    std::vector<std::uint64_t> old;
+    for (const auto& [number, size] : journal_->segments()) old.push_back(number);
+    for (auto& [number, frame] : left) {
+        if (number < done) continue;
+        sender_.restore(std::move(frame));
+        ++restored_;
+    }
+    sender_.number_from(done);
+    done_ = sender_.done_before();
+    // What is left is written anew, in as many segments as it takes, before the old ones go.
+    bool all = false;
+    while (!(all = follow()) && !failing_) {
+    }
+    if (all)
+        for (const std::uint64_t number : old) journal_->drop(number);
+}
+
+bool Backlog::failed() {
+    failing_ = true;
+    return false;
+}
+
+bool Backlog::write_layout(const std::shared_ptr<const Layout>& layout) {
+    if (layout_ == layout) return true;
+    if (!journal_->append(kLayout, bytes_of(*layout))) return false;
+    layout_ = layout;
+    return true;
+}
+
+bool Backlog::follow() {
+    // What has been answered: told once, and the segments with nothing else in them go.
+    if (const std::uint64_t done = sender_.done_before(); done > done_ && journal_->open()) {
+        Out out;
+        if (!journal_->append(kDone, out.put(done).bytes)) return failed();
+        done_ = done;
+        std::vector<std::uint64_t> over;
+        for (const auto& [number, frames] : frames_of_)
+            if (number != journal_->newest() && frames.last < done) over.push_back(number);
+        for (const std::uint64_t number : over) {
+            journal_->drop(number);
+            frames_of_.erase(number);
+        }
+    }
+    const auto& waiting = sender_.waiting();
+    auto at =
+        std::lower_bound(waiting.begin(), waiting.end(), written_,
+                         [](const Frame& frame, std::uint64_t number) { return frame.number < number; });
+    for (std::size_t count = 0; at != waiting.end(); ++at) {
+        if (count++ == kFramesAtOnce) return false;
+        if (!journal_->open() || journal_->full()) {
+            if (!journal_->begin()) return failed();
+            layout_.reset();
+            frames_of_[journal_->newest()] = {};
+            // The newest segment alone has to tell what is done: the others may go.
+            Out out;
+            if (!journal_->append(kDone, out.put(sender_.done_before()).bytes)) return failed();
+        }
+        if (!write_layout(at->layout) || !journal_->append(kFrame, bytes_of(*at))) return failed();
+        Segment& segment = frames_of_[journal_->newest()];
+        if (segment.first == 0) segment.first = at->number;
+        segment.last = at->number;
+        written_ = at->number + 1;
+        failing_ = false;
+    }
+    if (journal_->bytes() > kRoom * sender_.limit() + kSegment && !compact()) return failed();
+    failing_ = false;
+    return true;
+}
+
+// Guards the disk through a long outage: what was thinned in memory leaves the folder too. One segment a
+// call, the one that holds the least that still waits for its size.
+bool Backlog::compact() {
+    const auto& waiting = sender_.waiting();
+    const auto from = [&](std::uint64_t number) {
+        return std::lower_bound(waiting.begin(), waiting.end(), number,
+                                [](const Frame& frame, std::uint64_t n) { return frame.number < n; });
+    };
+    std::uint64_t best = 0;
+    double best_part = 0.75;   // of its bytes: rewriting one that is full frees nothing
+    for (const auto& [number, size] : journal_->segments()) {
+        const auto held = frames_of_.find(number);
+        if (number == journal_->newest() || held == frames_of_.end()) continue;
+        std::size_t live = 0;
+        for (auto at = from(held->second.first); at != waiting.end() && at->number <= held->second.last;
+             ++at)
+            live += at->bytes();
+        const double part = static_cast<double>(live) / static_cast<double>(size);
+        if (part < best_part) best = number, best_part = part;
+    }
+    if (best == 0) return true;
+    std::vector<store::Record> records;
+    std::shared_ptr<const Layout> layout;
+    const Segment held = frames_of_[best];
+    for (auto at = from(held.first); at != waiting.end() && at->number <= held.last; ++at) {
+        if (at->layout != layout) records.push_back({kLayout, bytes_of(*at->layout)});
+        layout = at->layout;
+        records.push_back({kFrame, bytes_of(*at)});
+    }
+    if (!records.empty()) return journal_->replace(best, records);
+    journal_->drop(best);
+    frames_of_.erase(best);
+    return true;
+}
+
+}   // namespace slatejunction::remotewrite
--- a/src/remotewrite/driver.cpp
+++ b/src/remotewrite/driver.cpp
@@ -127,9 +127,39 @@
       sender_(settings, seed),
       log_(log),
       timers_(timers),
-      timer_(timers, [this] { due(); }) {
+      timer_(timers, [this] { due(); }),
+      keep_timer_(timers, [this] { keep(); }) {
     last_success_ = unix_s();
     configure(settings);
+    if (settings.backlog_directory.empty()) return;
+    backlog_ = std::make_unique<Backlog>(settings.backlog_directory, sender_);
+    const auto& found = backlog_->found();
+    const double now = net::now();
+    if (backlog_->restored() > 0)
+        log_.write(Log::Level::info, now, "remote write: %zu frames of an earlier process wait",
+                   backlog_->restored());
+    for (const std::string& path : found.broken)
+        log_.write(Log::Level::error, now, "remote write: a broken backlog was put aside as %s",
+                   path.c_str());
+    if (found.cut_bytes > 0)
+        log_.write(Log::Level::warning, now,
+                   "remote write: %zu bytes of the backlog were cut off and are lost", found.cut_bytes);
+    keep();
+}
+
+// Brings the folder after the sender, a slice at a time.
+void Driver::keep() {
+    if (!backlog_) return;
+    const bool all = backlog_->follow();
+    const bool failing = backlog_->failing();
+    if (failing && !told_failing_)
+        log_.write(Log::Level::error, net::now(),
+                   "remote write: the backlog's folder can't be written, samples wait in memory alone: %s",
+                   backlog_->why().c_str());
+    if (!failing && told_failing_)
+        log_.write(Log::Level::info, net::now(), "remote write: the backlog's folder is written again");
+    told_failing_ = failing;
+    if (!all && !failing) keep_timer_.arm(net::now());
 }
 
 Driver::~Driver() {
@@ -153,6 +183,7 @@
 
 void Driver::add(Frame frame) {
     sender_.add(std::move(frame));
+    keep();
     pump();
 }
 
@@ -165,10 +196,15 @@
 void Driver::pump() {
     const double now = net::now();
     if (done_ && (sender_.empty() || now >= finish_by_)) {
+        while (backlog_ && !backlog_->follow() && !backlog_->failing()) {
+        }
         if (!sender_.empty())
-            log_.write(Log::Level::warning, now, "remote write: stopping with %zu frames not sent",
-                       sender_.frames());
+            log_.write(Log::Level::warning, now, "remote write: stopping with %zu frames not sent%s",
+                       sender_.frames(),
+                       backlog_ && !backlog_->failing() ? ", kept for the next start" : "");
         if (link_) link_->lose();
+        backlog_.reset();
+        keep_timer_.disarm();
         sender_.give_up();
         timer_.disarm();
         return std::exchange(done_, {})();
@@ -212,6 +248,7 @@
     const bool taken = answer.how == Answer::How::answered && answer.status / 100 == 2;
     const std::uint64_t rejected = sender_.tally().rejected;
     sender_.ended(now, answer);
+    keep();
     if (taken) last_success_ = unix_s();
     if (sender_.tally().rejected != rejected)
         log_.write(Log::Level::error, now, "remote write: %llu samples turned down: %s",
--- a/src/remotewrite/driver.hpp
+++ b/src/remotewrite/driver.hpp
@@ -8,6 +8,7 @@
 #include "log/log.hpp"
 #include "net/stream.hpp"
 #include "net/timers.hpp"
+#include "remotewrite/backlog.hpp"
 #include "remotewrite/sender.hpp"
 
 namespace slatejunction::remotewrite {
@@ -15,7 +16,7 @@
 class Driver {
   public:
     // `version` is the program's, for the User-Agent field. Throws std::runtime_error for settings that
-    // can't be used, which their checks have found before.
+    // can't be used, which their checks have found before, and store::Error for a backlog's folder.
     Driver(const Settings& settings, std::uint64_t seed, std::string version, net::Timers& timers,
            Log& log);
     ~Driver();
@@ -28,6 +29,7 @@
 
     Sender& sender() { return sender_; }
     const Sender& sender() const { return sender_; }
+    bool durable() const { return backlog_ != nullptr; }   // what waits outlives the process
     double last_success_unix_s() const { return last_success_; }
 
   private:
@@ -37,6 +39,7 @@
     void ended(const Answer& answer, const std::string& what);
     void due();
     void arm();
+    void keep();
 
     Settings settings_;
     Url url_;
@@ -44,9 +47,11 @@
     const std::string version_;
     net::Address address_;
     Sender sender_;
+    std::unique_ptr<Backlog> backlog_;
+    bool told_failing_ = false;
     Log& log_;
     net::Timers& timers_;
-    net::Timer timer_;
+    net::Timer timer_, keep_timer_;
     std::shared_ptr<Link> link_;
     double until_ = 0;   // of the batch that is out
     double last_success_ = 0;
--- a/src/remotewrite/sender.hpp
+++ b/src/remotewrite/sender.hpp
@@ -5,6 +5,7 @@
 // one batch is out at a time, which keeps the order within each series.
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <optional>
 #include <string>
@@ -73,6 +74,7 @@
     const std::deque<Frame>& waiting() const { return frames_; }
     // Frames that an earlier process left, by number; before any other call.
     void restore(Frame frame);
+    void number_from(std::uint64_t number) { next_number_ = std::max(next_number_, number); }
 
   private:
     void make_batch();
--- a/src/telemetry/telemetry.cpp
+++ b/src/telemetry/telemetry.cpp
@@ -32,12 +32,13 @@
 }   // namespace
 
 Telemetry::Telemetry(const operating::Options& options, const config::Config& config, std::string version,
-                     Log& log)
+                     net::Timers& timers, Log& log)
     : options_(options),
       name_(config.name),
       version_(std::move(version)),
       seed_(config.seed),
       log_(log),
+      timers_(timers),
       timer_(timers_, [this] { tick(); }) {
     started_ = quota_report_at_ = net::now();
     std::string path;
@@ -63,6 +64,8 @@
     if (!options_.remote_write.url.empty())
         driver_ =
             std::make_unique<remotewrite::Driver>(options_.remote_write, seed_, version_, timers_, log_);
+    if (driver_ && !driver_->sender().empty())
+        last_ms_ = std::max(last_ms_, driver_->sender().waiting().back().at_ms);
     lay_out();
 }
 
--- a/src/telemetry/telemetry.hpp
+++ b/src/telemetry/telemetry.hpp
@@ -21,7 +21,7 @@
   public:
     // Throws store::Error when the state directory can't be used.
     Telemetry(const operating::Options& options, const config::Config& config, std::string version,
-              Log& log);
+              net::Timers& timers, Log& log);
     ~Telemetry() override;
 
     // Where the gauges come from: called at each sample, until stop().
@@ -52,7 +52,7 @@
     Log& log_;
     std::optional<store::Directory> directory_;
     std::optional<metrics::Measures> measures_;
-    net::Timers timers_;
+    net::Timers& timers_;
     net::Timer timer_;
     std::unique_ptr<remotewrite::Driver> driver_;
     std::shared_ptr<const remotewrite::Layout> layout_;
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <fstream>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -15,6 +16,7 @@
 #include "receiver_server.hpp"
 #include "recording.hpp"
 #include "rules.hpp"
+#include "sums.hpp"
 
 namespace {
 
@@ -159,6 +161,25 @@
     return 0;
 }
 
+// Both sums side by side; exit status 1 when any differs.
+int compare_sums(const std::string& recording, const std::string& log) {
+    const standin::Sums there = standin::counted(standin::read_recording(recording));
+    const standin::Sums here = standin::logged(log);
+    std::map<std::string, std::pair<double, double>> both;
+    for (const auto& [key, sum] : there) both[key].first = sum;
+    for (const auto& [key, sum] : here) both[key].second = sum;
+    int differ = 0;
+    std::printf("%-36s %12s %12s\n", "class, plan, outcome or (reason)", "receiver", "log");
+    for (const auto& [key, sums] : both) {
+        const bool same = sums.first == sums.second;
+        differ += !same;
+        std::printf("%-36s %12.0f %12.0f%s\n", key.c_str(), sums.first, sums.second,
+                    same ? "" : "  differs");
+    }
+    std::printf("%d of %zu sums differ\n", differ, both.size());
+    return differ > 0;
+}
+
 int run_load(const Common& common, const standin::LoadSettings& settings, const std::string& config) {
     const slatejunction::directory::UnixClock clock;
     std::ifstream in(config, std::ios::binary);
@@ -235,6 +256,12 @@
     checking->add_option("--speed", speed, "all durations of the rules are divided by it")
         ->capture_default_str();
 
+    std::string log;
+    auto* comparing = app.add_subcommand("compare-sums",
+                                         "requests by the receiver's samples and by the ingress's own log");
+    comparing->add_option("--recording", recording, "what remote-write --out has written")->required();
+    comparing->add_option("--log", log, "the ingress's log: format = json, requests = all")->required();
+
     standin::LoadSettings load;
     std::string config;
     auto* loading = app.add_subcommand("load", "an open loop of requests");
@@ -261,6 +288,7 @@
         if (*providing) return run_provider(common, provider);
         if (*directing) return run_directory(common, listen, members);
         if (*receiving) return run_receiver(common, listen, v1_only, script, out);
+        if (*comparing) return compare_sums(recording, log);
         if (*checking) return check_rules(rules, recording, speed);
         return run_load(common, load, config);
     } catch (const std::exception& fault) {
--- /dev/null
+++ b/tests/remotewrite/backlog_test.cpp
@@ -0,0 +1,160 @@
+// The backlog in a folder: what an earlier process left is sent once more or for the first time, in order;
+// the folder stays bounded through a long outage; a disk that is full costs nothing but durability.
+#include "remotewrite/backlog.hpp"
+
+#include <catch2/catch.hpp>
+#include <cerrno>
+#include <random>
+#include <set>
+
+#include "files.hpp"
+
+using namespace slatejunction::remotewrite;
+
+namespace {
+
+std::shared_ptr<const Layout> layout_of(std::size_t series, const std::string& zone = "a") {
+    auto layout = std::make_shared<Layout>();
+    layout->created_ms = 77;
+    for (std::size_t i = 0; i < series; ++i)
+        layout->add("g", {{"n", std::to_string(i)}}, {{"zone", zone}}, Layout::Type::counter, "g", "help",
+                    "unit");
+    return layout;
+}
+
+Frame frame_of(const std::shared_ptr<const Layout>& layout, std::int64_t at) {
+    Frame frame;
+    frame.at_ms = at;
+    frame.layout = layout;
+    frame.values.assign(layout->series.size(), static_cast<double>(at));
+    return frame;
+}
+
+Settings small() {
+    Settings settings;
+    settings.backlog_mb = 1;
+    settings.batch_samples = 100;
+    return settings;
+}
+
+std::vector<std::int64_t> times_of(const Sender& sender) {
+    std::vector<std::int64_t> times;
+    for (const Frame& frame : sender.waiting()) times.push_back(frame.at_ms);
+    return times;
+}
+
+}   // namespace
+
+TEST_CASE("a process that comes back has what waited, at any point where it was killed") {
+    for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+        INFO("seed " << seed);
+        const Folder folder;
+        std::mt19937 random(seed);
+        std::int64_t at = 0;
+        double now = 0;
+        std::vector<std::int64_t> waiting;
+        std::uint64_t newest = 0;
+        for (int life = 0; life < 6; ++life) {
+            Sender sender(small(), seed);
+            Backlog backlog(folder.path(), sender);
+            REQUIRE(times_of(sender) == waiting);
+            REQUIRE(backlog.found().broken.empty());
+            const auto layout = layout_of(10 + random() % 20, "zone " + std::to_string(life));
+            for (int step = 0; step < 120; ++step) {
+                if (random() % 3) {
+                    sender.add(frame_of(layout, ++at));
+                    REQUIRE(sender.waiting().back().number > newest);
+                    newest = sender.waiting().back().number;
+                }
+                now += 1;
+                if (random() % 4 == 0 && sender.next(now))
+                    sender.ended(now, {Answer::How::answered, random() % 3 ? 204 : 500, -1, -1});
+                while (!backlog.follow()) REQUIRE_FALSE(backlog.failing());
+            }
+            waiting = times_of(sender);   // the process ends here, without a word
+        }
+        CHECK(at > 300);
+    }
+}
+
+TEST_CASE("the layout and every figure come back as they were") {
+    const Folder folder;
+    const auto layout = layout_of(3);
+    {
+        Sender sender(small(), 1);
+        Backlog backlog(folder.path(), sender);
+        Frame frame = frame_of(layout, 5);
+        frame.values = {0.1, stale_marker(), -3};
+        frame.keep = true;
+        sender.add(frame);
+        REQUIRE(backlog.follow());
+    }
+    Sender sender(small(), 1);
+    Backlog backlog(folder.path(), sender);
+    REQUIRE(sender.frames() == 1);
+    const Frame& frame = sender.waiting().front();
+    const Frame* one = &frame;
+    Frame same = frame_of(layout, 5);
+    same.values = {0.1, stale_marker(), -3};
+    const Frame* other = &same;
+    CHECK(frame.keep);
+    CHECK(encode({&one, 1}, 0, 3, Protocol::v2) == encode({&other, 1}, 0, 3, Protocol::v2));
+    CHECK(backlog.restored() == 1);
+}
+
+TEST_CASE("through a long outage the folder stays bounded, and after it it is empty but for one segment") {
+    const Folder folder;
+    Sender sender(small(), 1);
+    Backlog backlog(folder.path(), sender);
+    const auto layout = layout_of(100);
+    std::size_t most = 0;
+    for (int i = 1; i <= 12000; ++i) {   // ten times what there is room for in memory
+        sender.add(frame_of(layout, i));
+        while (!backlog.follow()) REQUIRE_FALSE(backlog.failing());
+        most = std::max(most, backlog.bytes());
+    }
+    CHECK(sender.tally().thinned > 0);
+    CHECK(most < 3 * sender.limit());
+    double now = 0;
+    while (!sender.empty()) {
+        REQUIRE(sender.next(now));
+        sender.ended(now, {Answer::How::answered, 204, -1, -1});
+        now += 10;
+        while (!backlog.follow()) REQUIRE_FALSE(backlog.failing());
+    }
+    CHECK(backlog.bytes() < 2 * Backlog::kSegment);
+}
+
+TEST_CASE("a disk that fills costs durability alone, and what waits is written once there is room") {
+    const Folder folder;
+    bool full = false;
+    const auto writer = [&](int fd, const void* data, std::size_t size) -> std::int64_t {
+        return full ? (errno = ENOSPC, -1) : ::write(fd, data, size);
+    };
+    const auto layout = layout_of(10);
+    std::vector<std::int64_t> waiting;
+    {
+        Sender sender(small(), 1);
+        Backlog backlog(folder.path(), sender, writer);
+        for (int i = 1; i <= 100; ++i) {
+            full = i > 20 && i < 80;
+            sender.add(frame_of(layout, i));
+            const bool all = backlog.follow();
+            CHECK(backlog.failing() == full);
+            CHECK((all || i >= 80) == !full);
+        }
+        while (!backlog.follow()) REQUIRE_FALSE(backlog.failing());
+        waiting = times_of(sender);
+        REQUIRE(waiting.size() == 100);
+    }
+    Sender sender(small(), 1);
+    Backlog backlog(folder.path(), sender);
+    CHECK(times_of(sender) == waiting);
+}
+
+TEST_CASE("a backlog's folder has one owner") {
+    const Folder folder;
+    Sender a(small(), 1), b(small(), 1);
+    Backlog backlog(folder.path(), a);
+    CHECK_THROWS_AS(Backlog(folder.path(), b), slatejunction::store::Error);
+}
--- a/tests/telemetry/site.hpp
+++ b/tests/telemetry/site.hpp
@@ -1,16 +1,13 @@
 // A whole site on loopback: the program, its directory, providers and receiver, each a process.
 #pragma once
 
-#include <rapidjson/document.h>
-
-#include <map>
-#include <sstream>
 #include <string>
 #include <vector>
 
 #include "files.hpp"
 #include "process.hpp"
 #include "recording.hpp"
+#include "sums.hpp"
 
 class Site {
   public:
@@ -82,38 +79,7 @@
         REQUIRE(ask(control_port, "POST", "/write").starts_with("HTTP/1.1 200"));
         return standin::read_recording(folder.file("samples"));
     }
-    // Finished requests by "CLASS PLAN OUTCOME" and by "CLASS PLAN REASON", as the log has them.
-    std::map<std::string, double> logged() const {
-        std::map<std::string, double> counts;
-        std::istringstream lines(folder.read("log"));
-        for (std::string line; std::getline(lines, line);) {
-            rapidjson::Document json;
-            if (json.Parse(line.c_str()).HasParseError() || !json.HasMember("outcome")) continue;
-            const std::string key =
-                std::string(json["class"].GetString()) + " " + json["plan"].GetString() + " ";
-            counts[key + json["outcome"].GetString()] += 1;
-            if (std::string(json["outcome"].GetString()) == "refused")
-                counts[key + "(" + json["reason"].GetString() + ")"] += 1;
-        }
-        return counts;
-    }
-    // The same from the last sample of each series; those that stand at 0 are left out. Of a series that
-    // has ended, the figure before its end.
-    static std::map<std::string, double> counted(const standin::Recording& recording) {
-        std::map<std::string, double> counts;
-        for (const auto& [key, points] : recording) {
-            std::map<std::string, std::string> labels(key.begin(), key.end());
-            const std::string& name = labels["__name__"];
-            const bool requests = name == "slatejunction_requests_total";
-            if ((!requests && name != "slatejunction_refusals_total") || points.empty()) continue;
-            double value = 0;
-            for (const standin::Point& point : points)
-                if (!standin::is_stale(point.value)) value = point.value;
-            const std::string what = requests ? labels["outcome"] : "(" + labels["reason"] + ")";
-            if (value > 0) counts[labels["class"] + " " + labels["plan"] + " " + what] += value;
-        }
-        return counts;
-    }
+    standin::Sums logged() const { return standin::logged(folder.file("log")); }
     void no_breaches() {
         const std::string text = ask(control_port, "GET", "/stats");
         INFO(text);
--- a/tests/telemetry/telemetry_test.cpp
+++ b/tests/telemetry/telemetry_test.cpp
@@ -34,7 +34,7 @@
     REQUIRE(site.ingress.end(SIGTERM) == 0);
     const auto logged = site.logged();
     CHECK(served(logged) > 300);
-    CHECK(Site::counted(site.samples()) == logged);
+    CHECK(standin::counted(site.samples()) == logged);
     site.no_breaches();
     // Without a state directory all series end with the stop.
     for (const auto& [key, points] : site.samples()) REQUIRE(standin::is_stale(points.back().value));
@@ -67,7 +67,7 @@
     REQUIRE(site.ingress.end(SIGTERM) == 0);
     const auto logged = site.logged();
     const auto samples = site.samples();
-    auto counted = Site::counted(samples);
+    auto counted = standin::counted(samples);
     // The figure moves before the log's line is written: a kill between the two leaves it one ahead.
     double ahead = 0;
     for (const auto& [key, count] : counted) {
