Add the expression language: parser, checker, bounds, compiler, evaluator, `slatejunction expr`

Need: matching of requests and keys that operators write, checked at load, of known cost. Change: src/expr has CEL's syntax and meaning without messages, static types, a bound on every part's value and cost, instructions on a stack and an arena; src/rules has the variables of requests and providers and the command line. Nothing in the daemon uses it yet.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -16,6 +16,7 @@
 #include "metrics/measures.hpp"
 #include "metrics/table.hpp"
 #include "operator/options.hpp"
+#include "rules/command.hpp"
 #include "telemetry/telemetry.hpp"
 
 namespace {
@@ -195,6 +196,28 @@
         app.add_subcommand("metrics", "all measures: name, type, unit, labels and what they tell");
     auto* sample = app.add_subcommand("sample", "an operator's file with every key, its unit and default");
     auto* counting = app.add_subcommand("counters", "the counters that a state directory holds");
+    auto* expression = app.add_subcommand("expr", "check, run, explain or time an expression of rules");
+    expression->require_subcommand(1);
+    sj::rules::ExprCommand expr;
+    for (const auto& [name, help] :
+         {std::pair<const char*, const char*>{"check", "its type and the most it may cost"},
+          {"eval", "its value; exit status 3 when that is an error"},
+          {"explain", "types and costs of its parts, and the compiled program"},
+          {"bench", "how long it takes, for half a second"}}) {
+        auto* one = expression->add_subcommand(name, help);
+        auto* text = one->add_option("-e", expr.text, "the expression");
+        auto* file = one->add_option("-f,--file", expr.file, "a file that holds it")->excludes(text);
+        one->add_option("--request", expr.request,
+                        "a JSON file: method, path, query, headers, class, plan ...");
+        one->add_option("--var", expr.variables, "NAME=TYPE=JSON, a further variable")->take_all();
+        one->add_option("--max-cost", expr.max_cost, "a bound over it is an error (units)");
+        one->add_option("--head-bytes", expr.head_bytes, "the most that a head holds, for bounds");
+        one->add_flag("--json", expr.json, "one line of JSON");
+        one->final_callback([&expr, name = name, text, file] {
+            if (text->count() + file->count() != 1) throw CLI::RequiredError("-e or -f");
+            expr.what = name;
+        });
+    }
     takes_files(serving);
     takes_files(checking);
     counting->add_option("directory", directory, "[state] directory of the operator's file")->required();
@@ -212,6 +235,7 @@
         if (*metrics) return std::fputs(sj::metrics::markdown().c_str(), stdout) < 0;
         if (*sample) return std::fputs(sj::operating::sample().c_str(), stdout) < 0;
         if (*counting) return counters(directory);
+        if (*expression) return sj::rules::run(expr);
         return *checking ? check(files) : serve(files);
     } catch (const std::exception& fault) {
         return fail(fault.what());
--- /dev/null
+++ b/src/rules/variables.cpp
@@ -0,0 +1,180 @@
+#include "rules/variables.hpp"
+
+#include <algorithm>
+
+namespace slatejunction::rules {
+
+using expr::Bound;
+using expr::Type;
+using expr::Value;
+using expr::cost::Units;
+
+namespace {
+
+constexpr std::size_t kWordMost = 256;   // bytes: names of classes, plans, providers and the like
+constexpr std::size_t kMethodMost = 32;
+
+// The look for bytes that are not UTF-8.
+Units text_cost(std::size_t bytes) { return expr::cost::walk(bytes); }
+// Names in lower case, each field beside those before it, and the values that are joined.
+Units headers_cost(std::size_t fields, std::size_t bytes) {
+    return expr::cost::plus(fields, expr::cost::times(fields, fields) / 2,
+                            expr::cost::times(2, expr::cost::walk(bytes)));
+}
+
+// All names together, or all values, are no longer than the head.
+Bound of_head(HeadBounds bounds) {
+    Bound bound = Bound::text(bounds.bytes);
+    bound.total = bounds.bytes;
+    return bound;
+}
+
+}   // namespace
+
+expr::Environment environment(Scope scope, HeadBounds bounds) {
+    using Tag = Type::Tag;
+    const Type text{Tag::text, {}}, integer{Tag::integer, {}}, real{Tag::real, {}},
+        boolean{Tag::boolean, {}};
+    const auto words = [&](std::string name, std::size_t most) {
+        return expr::Variable{std::move(name), text, Bound::text(most), text_cost(most)};
+    };
+    const auto plain = [](std::string name, const Type& type) {
+        return expr::Variable{std::move(name), type, {}, 0};
+    };
+    std::vector<expr::Variable> all{
+        words("request.method", kMethodMost),
+        words("request.path", bounds.bytes),
+        words("request.query", bounds.bytes),
+        {"request.headers", Type::map(text, text),
+         Bound::map(bounds.fields, of_head(bounds), of_head(bounds)),
+         headers_cost(bounds.fields, bounds.bytes)},
+        words("request.class", kWordMost),
+        words("request.plan", kWordMost),
+        plain("request.customer", integer),
+        plain("request.units", real),
+        plain("request.deadline_ms", integer),
+        plain("request.retry", boolean),
+        words("request.id", bounds.bytes),
+        words("gateway.name", kWordMost),
+        words("gateway.zone", kWordMost),
+        words("provider.id", kWordMost),
+        words("provider.locality", kWordMost),
+        words("provider.flavor", kWordMost),
+        plain("provider.cell", integer),
+        plain("provider.size", real),
+        plain("provider.age_s", real),
+    };
+    // Those of another scope keep their numbers, under a name that no expression can have.
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        const bool of_request = all[i].name.starts_with("request."), of_provider = i >= kRequestNames;
+        if ((scope == Scope::request && of_provider) || (scope == Scope::provider && of_request))
+            all[i].name.clear();
+    }
+    return {std::move(all)};
+}
+
+void Source::begin(const RequestFacts* request, const ProviderFacts* provider) {
+    request_ = request;
+    provider_ = provider;
+    known_ = 0;
+}
+
+Value Source::text(std::string_view text, std::size_t most, Units& spent) const {
+    if (text.size() > most) return Value::error("a text over its bound");
+    spent = text_cost(text.size());
+    return expr::valid_utf8(text) ? Value::text(text) : Value::error("not UTF-8");
+}
+
+Value Source::headers(expr::Arena& arena, Units& spent) {
+    const auto fields = request_->headers;
+    std::size_t bytes = 0;
+    for (const http::Field& field : fields) bytes += field.name.size() + field.value.size() + 2;
+    if (fields.size() > bounds_.fields || bytes > bounds_.bytes)
+        return Value::error("a head over its bound");
+    spent = headers_cost(fields.size(), bytes);
+    const std::span<expr::Pair> pairs = arena.array<expr::Pair>(fields.size());
+    std::size_t count = 0;
+    for (const http::Field& field : fields) {
+        char* name = arena.chars(field.name.size());
+        std::transform(field.name.begin(), field.name.end(), name,
+                       [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c; });
+        const std::string_view lower(name, field.name.size());
+        const auto end = pairs.begin() + static_cast<std::ptrdiff_t>(count);
+        const auto same = std::find_if(pairs.begin(), end,
+                                       [&](const expr::Pair& one) { return one.key.view() == lower; });
+        const bool readable = expr::valid_utf8(field.value) && expr::valid_utf8(lower);
+        if (same == end) {
+            pairs[count++] = {Value::text(lower),
+                              readable ? Value::text(field.value) : Value::error("not UTF-8")};
+        } else if (!readable) {
+            same->value = Value::error("not UTF-8");
+        } else if (!same->value.is_error()) {
+            const std::string_view before = same->value.view();
+            char* joined = arena.chars(before.size() + 2 + field.value.size());
+            char* at = std::copy(before.begin(), before.end(), joined);
+            *at++ = ',', *at++ = ' ';
+            at = std::copy(field.value.begin(), field.value.end(), at);
+            same->value = Value::text({joined, static_cast<std::size_t>(at - joined)});
+        }
+    }
+    return Value::map(pairs.first(count));
+}
+
+Value Source::load(std::uint32_t number, expr::Arena& arena, Units& spent) {
+    const std::uint32_t bit = 1U << number;
+    if ((known_ & bit) == 0) {
+        values_[number] = read(number, arena, spent);
+        known_ |= bit;
+    }
+    return values_[number];
+}
+
+Value Source::read(std::uint32_t number, expr::Arena& arena, Units& spent) {
+    const auto name = static_cast<Name>(number);
+    if (number >= kRequestNames && !provider_) return Value::error("no provider is known here");
+    if (number < static_cast<std::uint32_t>(Name::gateway_name) && !request_)
+        return Value::error("no request is known here");
+    switch (name) {
+        case Name::request_method:
+            return text(request_->method, kMethodMost, spent);
+        case Name::request_path:
+            return text(request_->path, bounds_.bytes, spent);
+        case Name::request_query:
+            return text(request_->query, bounds_.bytes, spent);
+        case Name::request_headers:
+            return headers(arena, spent);
+        case Name::request_class:
+            return text(request_->service_class, kWordMost, spent);
+        case Name::request_plan:
+            return text(request_->plan, kWordMost, spent);
+        case Name::request_customer:
+            return Value::integer(request_->customer);
+        case Name::request_units:
+            return Value::real(request_->units);
+        case Name::request_deadline_ms:
+            return Value::integer(request_->deadline_ms);
+        case Name::request_retry:
+            return Value::boolean(request_->retry);
+        case Name::request_id:
+            return text(request_->id, bounds_.bytes, spent);
+        case Name::gateway_name:
+            return text(gateway_.name, kWordMost, spent);
+        case Name::gateway_zone:
+            return text(gateway_.zone, kWordMost, spent);
+        case Name::provider_id:
+            return text(provider_->id, kWordMost, spent);
+        case Name::provider_locality:
+            return text(provider_->locality, kWordMost, spent);
+        case Name::provider_flavor:
+            return text(provider_->flavor, kWordMost, spent);
+        case Name::provider_cell:
+            return Value::integer(provider_->cell);
+        case Name::provider_size:
+            return Value::real(provider_->size);
+        case Name::provider_age_s:
+            return Value::real(provider_->age_s);
+    }
+    return Value::error("an unknown variable");
+}
+
+}   // namespace slatejunction::rules
