--- a/include/slatejunction/gateway.hpp
+++ b/include/slatejunction/gateway.hpp
@@ -102,7 +102,8 @@
     std::string zone;
     double capacity_hint = 0;
     std::int64_t cell = 0;
-    double born_s = 0;   // 0: long ago
+    double born_s = 0;           // 0: long ago
+    std::uint64_t subsets = 0;   // the named parts of the fleet that it belongs to, as bits
 };
 
 // Events. -------------------------------------------------------------------------------------------
@@ -116,6 +117,11 @@
     std::vector<ListEntry> entries;
 };
 
+// When a request that is for a named part of the fleet may go to the whole of it instead: never; when that
+// part has no server; or also when it is pressed: by its load, by what is open there, or as no server of it
+// can take the request.
+enum class Spill { never = 0, empty = 1, pressed = 2 };
+
 // A client's request. Exactly one final answer is owed for it before `due_s`: an attempt's `ok`, or a
 // Refuse or Abort action. `id` must not be used again while it is open.
 struct Request {
@@ -125,8 +131,12 @@
     double units = 0;
     std::uint64_t customer = 0;
     double due_s = 0;
-    double doors = 0;      // how many gateways this customer's requests may arrive through
-    bool repeat = false;   // the client says that it asked for this before
+    double doors = 0;           // how many gateways this customer's requests may arrive through
+    bool repeat = false;        // the client says that it asked for this before
+    std::uint64_t subset = 0;   // the one part of the fleet it is for, as in ListEntry; 0: the whole
+    Spill spill = Spill::never;
+    double over_limit_s =
+        0;   // over a limit of this gateway's own, which has room again so much later; 0: not
 };
 
 // How an attempt ended: exactly one for each Send. `ended` tells that nothing more is owed.
@@ -174,6 +184,7 @@
     std::string id;
     std::string server;
     double allow_s = 0;
+    bool spilled = false;   // to the whole fleet, though the request is for a part of it
 };
 struct CallOff {
     std::string id;
@@ -187,7 +198,8 @@
     open_work = 3,     // too much is open for the rate of answers
     no_provider = 4,   // no server could take it
     attempts = 5,      // its attempts came back without an answer, and none may follow
-    malformed = 6      // of an unknown class, or due before it came
+    malformed = 6,     // of an unknown class, or due before it came
+    limit = 8          // Request::over_limit_s; 7 is the door's own
 };
 
 // Final: certain that the request had no effect, or that its class may be repeated.
@@ -213,9 +225,11 @@
 struct Note {
     std::string text;
 };
-// The admitted fraction, 0.05 to 1, whenever it has changed; 1 until this is first said. Nothing to do.
+// The admitted fraction, 0.05 to 1, whenever it has changed; 1 until this is first said. Each part of the
+// fleet that requests are for has its own. Nothing to do.
 struct Admitted {
     double fraction = 1;
+    std::uint64_t subset = 0;   // as in Request; 0: the whole fleet
 };
 
 using Action = std::variant<Send, CallOff, Refuse, Abort, SetTimer, Probe, Listen, Note, Admitted>;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -2,9 +2,11 @@
 // Order for a request: pass share draw, ceiling, admitted fraction draw, server (docs/design.md).
 #include <algorithm>
 #include <array>
+#include <bit>
 #include <cmath>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -366,6 +368,7 @@
     std::string id, zone;
     std::int64_t cell = 0;
     double weight = 1, born = 0;
+    std::uint64_t subsets = 0;
     bool listed = true;
     int open = 0;
     double latency = 0, heard = -1e18;   // aims, averaged; last answer
@@ -387,7 +390,7 @@
 
     // Returns how much of the fleet changed.
     double update(const ListUpdate& list, double now) {
-        const double before = std::max<double>(1.0, static_cast<double>(usable_.size()));
+        const double before = std::max<double>(1.0, static_cast<double>(usable()));
         double changed = 0;
         if (list.kind != ListKind::changes)
             for (auto& [id, s] : servers_) s.listed = false;
@@ -412,10 +415,11 @@
             s.listed = true;
             s.zone = e.zone;
             s.cell = e.cell;
+            s.subsets = e.subsets;
             s.weight = sane(e.capacity_hint) > 0 ? sane(e.capacity_hint) : 1.0;
         }
         rebuild();
-        return std::max(changed, std::abs(static_cast<double>(usable_.size()) - before)) / before;
+        return std::max(changed, std::abs(static_cast<double>(usable()) - before)) / before;
     }
 
     Server* find(const std::string& id) { return servers_.count(id) ? &servers_.at(id) : nullptr; }
@@ -426,16 +430,19 @@
         const std::vector<std::string>* avoid = nullptr;
         Group group = Group::all;
         const Server* anchor = nullptr;
+        std::size_t part = 0;
     };
 
     // A few servers drawn by weight, which keeps many gateways from herding on late reports; where this one
     // has not heard of them lately, those that answered it last as well. The lowest cost wins.
     Server* choose(const Need& need, double now, Random& random) {
+        if (usable(need.part) == 0) return nullptr;
+        const Part& part = parts_[need.part];
         Server* best = nullptr;
         Server* bad = nullptr;   // the best of those that are avoided
         double least = 0, least_bad = 0;
         const auto consider = [&](Server* s) {
-            if (!s->listed || !in_group(*s, need)) return;
+            if (!s->listed || !in_group(*s, need) || !in_part(*s, need.part)) return;
             const double score = (1 + kChance * random.unit()) * cost(*s, need, now);
             const bool tried =
                 need.avoid && std::find(need.avoid->begin(), need.avoid->end(), s->id) != need.avoid->end();
@@ -446,12 +453,12 @@
             }
         };
         if (need.anchor && need.group != Group::all) {
-            for (Server* s : usable_)
+            for (Server* s : part.usable)
                 if (warmth(*s, now) >= 1 || random.unit() < cold_part(*s, now)) consider(s);
             return best ? best : bad;
         }
-        for (int i = 0; i < kDraws && !usable_.empty(); ++i) {
-            Server* s = draw(random);
+        for (int i = 0; i < kDraws; ++i) {
+            Server* s = draw(part, random);
             if (warmth(*s, now) >= 1) {
                 consider(s);
             } else if (i == 0 && random.unit() < cold_part(*s, now)) {
@@ -502,7 +509,7 @@
     bool wide() const { return bad_ > kWide; }
     bool counts(const Server& s, double now) const { return wide() || !suspect(s, now); }
     auto suspects(double now) const {
-        return std::count_if(usable_.begin(), usable_.end(),
+        return std::count_if(parts_[0].usable.begin(), parts_[0].usable.end(),
                              [&](const Server* s) { return suspect(*s, now); });
     }
 
@@ -524,34 +531,53 @@
     }
 
     double mean() const { return mean_; }
-    std::size_t usable() const { return usable_.size(); }
+    // Of a part of the fleet; 0 is the whole.
+    std::size_t usable(std::size_t part = 0) const {
+        return part < parts_.size() ? parts_[part].usable.size() : 0;
+    }
 
     // Forgets servers that are off the list and owe no answer.
     void rebuild() {
         recent_.fill(nullptr);
-        usable_.clear();
-        upto_.clear();
-        double sum = 0;
+        parts_.assign(1, {});
         for (auto at = servers_.begin(); at != servers_.end();) {
             if (!at->second.listed && at->second.open == 0) {
                 at = servers_.erase(at);
                 continue;
             }
-            if (at->second.listed)
-                usable_.push_back(&at->second), upto_.push_back(sum += at->second.weight);
-            ++at;
+            Server& s = (at++)->second;
+            if (!s.listed) continue;
+            parts_[0].add(s);
+            for (std::uint64_t left = s.subsets; left != 0; left &= left - 1) {
+                const auto part = static_cast<std::size_t>(std::countr_zero(left)) + 1;
+                if (part >= parts_.size()) parts_.resize(part + 1);
+                parts_[part].add(s);
+            }
         }
     }
 
   private:
+    // The whole fleet, or a named part of it: its listed servers in the order of their ids.
+    struct Part {
+        std::vector<Server*> usable;
+        std::vector<double> upto;   // sums of their weights
+        void add(Server& s) {
+            upto.push_back((upto.empty() ? 0 : upto.back()) + s.weight);
+            usable.push_back(&s);
+        }
+    };
+    static bool in_part(const Server& s, std::size_t part) {
+        return part == 0 || (s.subsets >> (part - 1) & 1) != 0;
+    }
     static bool in_group(const Server& s, const Need& need) {
         if (!need.anchor || need.group == Group::all) return true;
         return need.group == Group::zone ? s.zone == need.anchor->zone : s.cell == need.anchor->cell;
     }
 
-    Server* draw(Random& random) const {
-        const auto at = std::upper_bound(upto_.begin(), upto_.end(), random.unit() * upto_.back());
-        return usable_[std::min(static_cast<std::size_t>(at - upto_.begin()), usable_.size() - 1)];
+    static Server* draw(const Part& part, Random& random) {
+        const auto& upto = part.upto;
+        const auto at = std::upper_bound(upto.begin(), upto.end(), random.unit() * upto.back());
+        return part.usable[std::min(static_cast<std::size_t>(at - upto.begin()), upto.size() - 1)];
     }
 
     // The least part of its capacity that a server can have by now.
@@ -591,8 +617,7 @@
     }
 
     std::map<std::string, Server> servers_;
-    std::vector<Server*> usable_;   // listed, in the order of their ids
-    std::vector<double> upto_;      // sums of their weights
+    std::vector<Part> parts_{1};
     std::array<Server*, 4> recent_{};
     std::size_t recent_at_ = 0;
     std::map<std::string, std::size_t> fields_;
@@ -611,8 +636,9 @@
     std::string server;
     double sent = 0;
     bool open = true;
-    bool ran = true;       // may have run: true until an outcome proves otherwise
-    bool silent = false;   // overdue while its server answers nothing: no part of the open work
+    bool ran = true;        // may have run: true until an outcome proves otherwise
+    bool silent = false;    // overdue while its server answers nothing: no part of the open work
+    std::size_t part = 0;   // of the fleet, that it was sent to
 };
 
 struct Job {
@@ -623,6 +649,7 @@
     std::vector<Attempt> attempts;
     std::vector<std::string> tried;
     std::size_t kind = 0;   // class and plan
+    std::size_t part = 0;   // of the fleet, that it is for now
     bool streaming = false, ended = false;
     int open = 0;
 
@@ -639,6 +666,7 @@
   public:
     Impl(Settings settings, std::uint64_t seed) : settings_(std::move(settings)), random_(seed) {
         servers_.configure(&settings_, settings_.classes.size() * (settings_.plans.size() + 1));
+        balancers_ = sane(settings_.balancers);
         for (const ServiceClass& c : settings_.classes) top_worth_ = std::max(top_worth_, sane(c.worth));
     }
 
@@ -672,7 +700,7 @@
         if (list.kind == ListKind::lost)
             relisten_ = now_ + kRelisten;
         else if (servers_.update(list, now_) > kFleetShift)
-            load_.fleet_changed();
+            for (Lane& lane : lanes_) lane.load.fleet_changed();
     }
 
     void on(const Request& request) {
@@ -693,16 +721,18 @@
         c.ceiling.refill(now_, start_, *plan, c.doors);
         if (!shares_.draw(c, share, sane(service->worth) / top_worth_, random_))
             return refuse(Reason::quota, request, kSurplusStay * service->aim_s);
+        if (request.over_limit_s > 0) return act(Refuse{request.id, request.over_limit_s, Reason::limit});
         if ((plan->ceiling_rate > 0 && !c.ceiling.holds(units)) ||
             (plan->max_out > 0 && c.out >= plan->max_out))
             return refuse(Reason::ceiling, request, kSurplusStay * service->aim_s);
-        if (random_.unit() >= load_.fraction())
-            return refuse(Reason::fraction, request, kPressedStay * service->aim_s);
-        const double fleet = static_cast<double>(servers_.usable());
-        if (load_.swamped(open_, open_aims_, fleet / std::max(1.0, sane(settings_.balancers)), now_))
-            return refuse(Reason::open_work, request, kPressedStay * service->aim_s);
-
         Job job;
+        job.part = request.subset == 0 ? 0 : static_cast<std::size_t>(std::countr_zero(request.subset)) + 1;
+        if (job.part >= lanes_.size()) lanes_.resize(job.part + 1);
+        if (request.spill != Spill::never && servers_.usable(job.part) == 0) job.part = 0;
+        auto why = pressed(job.part);
+        if (why && job.part != 0 && request.spill == Spill::pressed) why = pressed(job.part = 0);
+        if (why) return refuse(*why, request, kPressedStay * service->aim_s);
+
         job.number = ++numbers_;
         job.request = request;
         job.service = &*service;
@@ -719,6 +749,15 @@
         jobs_.emplace(job.number, std::move(job));
     }
 
+    // What keeps a request out of a part of the fleet: its load, or what is open there.
+    std::optional<Reason> pressed(std::size_t part) {
+        const Lane& lane = lanes_[part];
+        if (random_.unit() >= lane.load.fraction()) return Reason::fraction;
+        const double fleet = static_cast<double>(servers_.usable(part)) / std::max(1.0, balancers_);
+        if (lane.load.swamped(lane.open, lane.open_aims, fleet, now_)) return Reason::open_work;
+        return std::nullopt;
+    }
+
     // One line every few seconds in which a guard acted, for those on call.
     void tell() {
         static const std::array<const char*, 5> names{"share ", ", ceiling or cap ", ", fraction ",
@@ -726,7 +765,7 @@
         const auto suspects = servers_.suspects(now_);
         std::string text = "refused: ";
         for (std::size_t i = 0; i < names.size(); ++i) text += names[i] + std::to_string(refused_[i]);
-        text += "; admitted fraction " + std::to_string(static_cast<int>(100 * load_.fraction())) +
+        text += "; admitted fraction " + std::to_string(static_cast<int>(100 * lanes_[0].load.fraction())) +
                 "%; suspect servers " + std::to_string(suspects);
         if (suspects > 0 || refused_ != decltype(refused_){}) act(Note{std::move(text)});
         refused_ = {};
@@ -766,16 +805,22 @@
             need.anchor = servers_.find(ran->server);
             if (!need.anchor) return false;
         }
+        need.part = job.part;
         Server* s = servers_.choose(need, now_, random_);
+        const bool spills = job.request.spill == Spill::pressed ||
+                            (job.request.spill == Spill::empty && servers_.usable(job.part) == 0);
+        if (!s && job.part != 0 && spills) {
+            need.part = job.part = 0;
+            s = servers_.choose(need, now_, random_);
+        }
         if (!s) return false;
-        job.attempts.push_back({s->id, now_});
+        job.attempts.push_back({s->id, now_, true, true, false, job.part});
         job.tried.push_back(s->id);
         ++job.open;
         servers_.sent(*s, now_);
-        open_ += 1;
-        open_aims_ += 1 / std::max(job.service->aim_s, 1e-3);
+        lanes_[job.part].opened(job.service->aim_s, 1);
         if (Customer* c = shares_.known(job.request.customer)) ++c->out;
-        act(Send{job.request.id, s->id, 0});
+        act(Send{job.request.id, s->id, 0, job.request.subset != 0 && job.part == 0});
         act(SetTimer{now_ + patience(job), 2 * job.number + 1});
         return true;
     }
@@ -804,21 +849,21 @@
             --c->out;
             shares_.metered(*c, *job->plan, sane(e.quota_use), now_);
         }
-        if (!attempt.silent) close_open(*job);
+        if (!attempt.silent) lanes_[attempt.part].opened(job->service->aim_s, -1);
         if (Server* s = servers_.find(attempt.server)) {
             --s->open;
             servers_.report(*s, e.report, now_);
             const bool counts = servers_.counts(*s, now_);
             if (e.outcome == Outcome::ok) {
                 servers_.answered(*s, job->kind, aims, now_);
-                load_.answered(now_);
+                lanes_[attempt.part].load.answered(now_);
             } else if (e.outcome == Outcome::full) {
                 servers_.turned_away(*s, job->kind, now_);
             } else if (e.outcome != Outcome::cancelled && e.outcome != Outcome::moot) {
                 servers_.failed(*s, now_, e.stale ? kStaleWeight : kFailWeight);
             }
             const bool lost = e.outcome == Outcome::timeout || attempt.silent;   // timed out or called off
-            if (counts && (lost || e.outcome == Outcome::ok)) load_.sample(aims);
+            if (counts && (lost || e.outcome == Outcome::ok)) lanes_[attempt.part].load.sample(aims);
             if (!s->listed && s->open == 0) servers_.rebuild();
         }
         attempt.ran = !never_ran(e.outcome);
@@ -832,11 +877,6 @@
         close(*job);
     }
 
-    void close_open(const Job& job) {
-        open_ -= 1;
-        open_aims_ = open_ > 0 ? open_aims_ - 1 / std::max(job.service->aim_s, 1e-3) : 0;
-    }
-
     // The final answer, as soon as no attempt can bring one any more: never later to keep a client quiet.
     void close(Job& job) {
         const bool may_refuse = job.service->effect == Effect::pure || !job.first_run() ||
@@ -896,7 +936,7 @@
         servers_.failed(*s, now_, kSilentWeight);
         if (servers_.wide()) return;
         const bool again = attempt.silent;   // a copy or a cancellation has been asked for
-        if (!again) close_open(job);
+        if (!again) lanes_[attempt.part].opened(job.service->aim_s, -1);
         attempt.silent = true;
         if (again || retries_ < 1 || job.service->effect == Effect::side_effect || spent(job)) return;
         if (settings_.parallel_tries) {
@@ -912,18 +952,27 @@
             (now_ >= relisten_ || now_ - asked_ > std::max(kTick, 0.5 * sane(settings_.ask_within_s)))) {
             relisten_ = 1e18, listen();
         }
-        if (load_.due(now_) && now_ - resumed_ >= kTick) {
+        bool due = false;
+        for (Lane& lane : lanes_) due |= lane.due = lane.load.due(now_) && now_ - resumed_ >= kTick;
+        if (due) {
             for (const auto& [number, job] : jobs_) {
                 if (job.ended) continue;
                 for (const Attempt& a : job.attempts) {
+                    if (!lanes_[a.part].due) continue;
                     const double aims = (now_ - a.sent) / std::max(job.service->aim_s, 1e-3);
                     Server* s = servers_.find(a.server);
                     // Lost requests report nothing until timed out: the age of an overdue attempt counts.
-                    if (a.open && aims > 1 && s && servers_.counts(*s, now_)) load_.sample(aims);
+                    if (a.open && aims > 1 && s && servers_.counts(*s, now_))
+                        lanes_[a.part].load.sample(aims);
                 }
             }
-            load_.close(now_);
-            if (load_.fraction() != admitted_) act(Admitted{admitted_ = load_.fraction()});
+            for (std::size_t part = 0; part < lanes_.size(); ++part) {
+                Lane& lane = lanes_[part];
+                if (!lane.due) continue;
+                lane.load.close(now_);
+                if (lane.load.fraction() == lane.admitted) continue;
+                act(Admitted{lane.admitted = lane.load.fraction(), (std::uint64_t{1} << part) >> 1});
+            }
         }
         if (now_ - told_ > kTellEvery) tell();
         if (now_ - swept_ > 10) swept_ = now_, shares_.sweep(now_);
@@ -934,9 +983,22 @@
         out_->emplace_back(std::move(action));
     }
 
+    // Each part of the fleet that requests are for is held to its own load: one that is slow or flooded
+    // closes no door of the others. Harm: a server of several parts is judged by each for itself.
+    struct Lane {
+        LoadController load;
+        double open = 0, open_aims = 0;   // attempts out, and each over its class's aim
+        double admitted = 1;              // as it was last said
+        bool due = false;
+        void opened(double aim_s, int more) {
+            open += more;
+            open_aims = open > 0 ? open_aims + more / std::max(aim_s, 1e-3) : 0;
+        }
+    };
+
     Settings settings_;
     Random random_;
-    LoadController load_;
+    std::vector<Lane> lanes_{1};   // by part of the fleet
     QuotaShares shares_;
     ServerPool servers_;
     std::map<std::uint64_t, Job> jobs_;
@@ -946,13 +1008,10 @@
     double now_ = 0, start_ = 0, asked_ = 0;
     double relisten_ = 1e18;
     double swept_ = 0, told_ = 0, resumed_ = -1e18;
-    double admitted_ = 1;            // as it was last said
     std::array<int, 5> refused_{};   // by the first reasons, since the last log line
     double retries_ = kRetryFirst;
     double retries_at_ = 0;
-    double top_worth_ = 1e-9;           // of the dearest class
-    double open_ = 0, open_aims_ = 0;   // attempts out, and each over its class's aim
-    bool repeatable_ = false;           // is there a class that may be used for trials
+    double top_worth_ = 1e-9, balancers_ = 0;   // of the dearest class; gateways
     bool started_ = false, started_clock_ = false;
 };
 
--- a/src/consumer/invocation.hpp
+++ b/src/consumer/invocation.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string_view>
 
 #include "http/message.hpp"
@@ -19,6 +20,7 @@
     double units = 0, doors = 0;
     double arrived = 0, due = 0;   // s, net::now(): its last byte, and when the consumer stops waiting
     bool repeat = false;
+    std::span<const http::Field> headers;   // while it is handed on, and only where its host wants them
 };
 
 // Reads the fields of a parsed request, but its body. Names the first that is missing, unreadable or not of
--- a/src/consumer/session.hpp
+++ b/src/consumer/session.hpp
@@ -15,6 +15,7 @@
     virtual bool stopping() const = 0;   // connections are to end after their answer
     virtual const slatejunction::Settings& settings() const = 0;
     virtual bool is_open(std::string_view request_id) const = 0;   // an invocation of that id
+    virtual bool wants_headers() const { return false; }           // Invocation::headers
     virtual http::Budget& budget() = 0;                            // of all consumers' bytes
     virtual void on_bad_request(int status, std::string_view why) = 0;
     virtual void on_accept_failed(const char* why) = 0;
--- a/src/expr/check.cpp
+++ b/src/expr/check.cpp
@@ -187,6 +187,7 @@
         if (has.empty() || path.find('.') == std::string::npos) {
             std::string all;
             for (const Variable& one : environment_.variables) {
+                if (one.name.empty()) continue;
                 const std::string first = one.name.substr(0, one.name.find('.'));
                 if ((", " + all + ",").find(", " + first + ",") == std::string::npos)
                     all += (all.empty() ? "" : ", ") + first;
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 #include "metrics/reasons.hpp"
@@ -18,9 +19,10 @@
     0.2;   // of the memory, for the bytes of consumers, and for those of providers
 constexpr double kStopSweepEvery = 0.05;   // s, while stopping
 // New connections come for some tenths of a second after the stop, and on those open more requests may.
-constexpr double kStillComing = 0.6;   // s after the stop in which idle connections are kept
-constexpr double kQuiet = 0.15;        // s without use before one ends after that
-constexpr double kNearDue = 0.05;      // s; an abort so near to the due time is a time-out
+constexpr double kStillComing = 0.6;      // s after the stop in which idle connections are kept
+constexpr double kQuiet = 0.15;           // s without use before one ends after that
+constexpr double kRuleErrorEvery = 1.0;   // s; between log lines of errors of rules
+constexpr double kNearDue = 0.05;         // s; an abort so near to the due time is a time-out
 
 provider::PoolLimits limits_of(const config::Config& config) {
     return {(config.sockets - kReserve) * 2 / 5, config.dial_timeout_s, config.keepalive_s};
@@ -65,7 +67,9 @@
 bool Ingress::start(std::string& why) {
     tell(slatejunction::Start{});
     pool_.update(config_.known);
-    tell(config_.known.update);
+    slatejunction::ListUpdate known = config_.known.update;
+    fleet_.update(net::now(), known, rules_.get());
+    tell(std::move(known));
     if (!server_.start(config_.listen, why)) return false;
     watch_->start(config_.known.revision);
     sweep_timer_.arm(net::now() + kSweepEvery);
@@ -155,6 +159,7 @@
     request.due_s = i.due;
     request.doors = i.doors;
     request.repeat = i.repeat;
+    if (rules_) judge(open, request);
     tell(std::move(request));
     return number;
 }
@@ -223,6 +228,7 @@
 void Ingress::on_listing(directory::Listing& listing) {
     // The pool first: it ends dials to providers that are leaving, before the module sends anything more.
     pool_.update(listing);
+    fleet_.update(net::now(), listing.update, rules_.get());
     tell(std::move(listing.update));
 }
 
@@ -280,6 +286,8 @@
     open->calls.emplace_back();
     ++open->out;
     if (observer_) open->provider = send.server;
+    if (open->verdict && tag.attempt == 0 && rules_ && open->rules == rules_number_)
+        rules_->sent(now, *open->verdict, send.spilled);
     const auto call = pool_.call(send.server, tag, open->invocation, until);
     if (call) open->calls[static_cast<std::size_t>(tag.attempt)] = call;
 }
@@ -296,6 +304,8 @@
     Open* open = find(refuse.id);
     if (open && open->consumer) {
         const auto number = static_cast<std::size_t>(refuse.reason);
+        if (refuse.reason == slatejunction::Reason::limit && rules_ && open->rules == rules_number_)
+            rules_->refused(*open->verdict);
         if (observer_) observe(*open, Finish::How::refused, metrics::kReasons[number], number);
         answer(*open, {503, refuse.retry_after_s, {}, {}});
     }
@@ -331,13 +341,61 @@
 }
 
 void Ingress::carry_out(const slatejunction::Admitted& admitted) {
-    if (observer_) observer_->on_admitted(admitted.fraction);
+    if (observer_ && admitted.subset == 0) observer_->on_admitted(admitted.fraction);
 }
 
 // Before the answer is given, so that what was answered has been counted even if the program is killed.
 void Ingress::observe(const Open& open, Finish::How how, std::string_view reason, std::size_t refusal) {
-    observer_->on_finish({*open.invocation, how, reason, refusal, open.provider, open.calls.size(),
-                          net::now() - open.invocation->arrived});
+    Finish finish{*open.invocation,
+                  how,
+                  reason,
+                  refusal,
+                  open.provider,
+                  open.calls.size(),
+                  net::now() - open.invocation->arrived};
+    if (open.verdict) finish.tags = open.verdict->tags;
+    observer_->on_finish(finish);
+}
+
+// Rules. ----------------------------------------------------------------------------------------------
+
+void Ingress::set_rules(std::unique_ptr<rules::Rules> rules) {
+    if (rules && rules_) rules->adopt(*rules_);
+    rules_ = std::move(rules);
+    ++rules_number_;
+    // Before the start the first list is still to come.
+    if (auto list = fleet_.reload(net::now(), rules_.get()); !list.entries.empty()) tell(std::move(list));
+}
+
+void Ingress::on_rule_error(const std::string& rule, std::string_view why) {
+    const double now = net::now();
+    if (now - rule_told_ < kRuleErrorEvery) return;
+    rule_told_ = now;
+    log_.write(Log::Level::warning, now, "rules: [%s] ends in an error and does not match: %.*s",
+               rule.c_str(), static_cast<int>(why.size()), why.data());
+}
+
+void Ingress::judge(Open& open, slatejunction::Request& request) {
+    const consumer::Invocation& i = *open.invocation;
+    rules::RequestFacts facts;
+    facts.method = i.method;
+    const std::size_t mark = std::min(i.target.find('?'), i.target.size());
+    facts.path = i.target.substr(0, mark);
+    facts.query = i.target.substr(std::min(mark + 1, i.target.size()));
+    facts.service_class = i.service_class;
+    facts.plan = i.plan;
+    facts.id = i.request_id;
+    facts.headers = i.headers;
+    facts.customer = static_cast<std::int64_t>(i.customer);
+    facts.deadline_ms = std::llround((i.due - i.arrived) * 1e3);
+    facts.units = i.units;
+    facts.retry = i.repeat;
+    open.verdict = std::make_unique<rules::Verdict>(rules_->judge(net::now(), facts));
+    open.invocation->headers = {};
+    open.rules = rules_number_;
+    request.subset = open.verdict->subset;
+    request.spill = open.verdict->spill;
+    request.over_limit_s = open.verdict->over_limit_s;
 }
 
 Gauges Ingress::gauges() const {
@@ -355,6 +413,8 @@
     now.descriptors_limit = config_.sockets;
     now.memory_limit_bytes = config_.memory_mb * 1024 * 1024;
     now.directory_heard_at = watch_->heard_at();
+    now.rules = rules_.get();
+    now.fleet = &fleet_;
     return now;
 }
 
@@ -367,6 +427,7 @@
 void Ingress::forget_if_over(std::uint64_t number) {
     const auto at = open_.find(number);
     if (at == open_.end() || at->second.consumer || at->second.out > 0) return;
+    if (at->second.verdict) rules::Rules::ended(net::now(), *at->second.verdict);
     ids_.erase(at->second.invocation->request_id);
     open_.erase(at);
 }
--- a/src/ingress/ingress.hpp
+++ b/src/ingress/ingress.hpp
@@ -15,6 +15,7 @@
 #include "ingress/observer.hpp"
 #include "log/log.hpp"
 #include "provider/pool.hpp"
+#include "rules/rules.hpp"
 #include "slatejunction/gateway.hpp"
 
 namespace slatejunction::ingress {
@@ -30,6 +31,9 @@
     // Takes a new configuration: moves the watch to where it says that the directory is. What it changes
     // beside that is named in the log and waits for the next start.
     void reload(const config::Config& fresh);
+    // What the operator's rules say from here on; null: there are none.
+    void set_rules(std::unique_ptr<rules::Rules> rules);
+    void on_rule_error(const std::string& rule, std::string_view why);   // what they were loaded with
     Gauges gauges() const;
 
   private:
@@ -41,7 +45,9 @@
         std::shared_ptr<consumer::Consumer> consumer;               // empty once it is answered
         std::vector<std::shared_ptr<provider::Connection>> calls;   // by attempt; empty once ended
         int out = 0;
-        std::string provider;   // the last one called, where somebody records it
+        std::string provider;                      // the last one called, where somebody records it
+        std::unique_ptr<rules::Verdict> verdict;   // where there are rules
+        std::uint64_t rules = 0;                   // which made it, as they were counted
     };
     struct DueTimer {
         double due;
@@ -57,6 +63,7 @@
     bool stopping() const override { return stopping_; }
     const slatejunction::Settings& settings() const override { return config_.settings; }
     bool is_open(std::string_view request_id) const override { return ids_.contains(request_id); }
+    bool wants_headers() const override { return rules_ != nullptr; }
     http::Budget& budget() override { return consumer_bytes_; }
     void on_bad_request(int status, std::string_view why) override;
     void on_accept_failed(const char* why) override;
@@ -81,6 +88,7 @@
     void answer(Open& open, const consumer::Answer& answer);
     void observe(const Open& open, Finish::How how, std::string_view reason, std::size_t refusal = 0);
     void forget_if_over(std::uint64_t number);
+    void judge(Open& open, slatejunction::Request& request);
     void timers_due();
     void sweep();
 
@@ -103,6 +111,10 @@
     provider::Pool pool_;
     consumer::Server server_;
     std::shared_ptr<WatchLink> watch_;
+    std::unique_ptr<rules::Rules> rules_;
+    rules::Fleet fleet_;
+    std::uint64_t rules_number_ = 0;   // of the rules in force
+    double rule_told_ = -1e18;         // when an error of one was last logged
     bool stopping_ = false;
     double stopped_at_ = 0;
 };
--- a/src/ingress/observer.hpp
+++ b/src/ingress/observer.hpp
@@ -2,9 +2,13 @@
 #pragma once
 
 #include <cstddef>
+#include <span>
+#include <string>
 #include <string_view>
+#include <utility>
 
 #include "consumer/invocation.hpp"
+#include "rules/rules.hpp"
 #include "slatejunction/gateway.hpp"
 
 namespace slatejunction::ingress {
@@ -18,7 +22,8 @@
     std::size_t refusal = 0;     // its number there
     std::string_view provider;   // the last one called; empty: none
     std::size_t attempts = 0;
-    double seconds = 0;   // from the request's last byte
+    double seconds = 0;                                               // from the request's last byte
+    std::span<const std::pair<std::size_t, std::string>> tags = {};   // of the rules: number, value
 };
 
 class Observer {
@@ -38,7 +43,9 @@
     std::size_t consumer_bytes = 0, provider_bytes = 0, consumer_budget = 0, provider_budget = 0;
     std::size_t descriptors = 0, descriptors_limit = 0;
     double memory_limit_bytes = 0;
-    double directory_heard_at = 0;   // s, net::now(); 0: never
+    double directory_heard_at = 0;         // s, net::now(); 0: never
+    const rules::Rules* rules = nullptr;   // during the call
+    const rules::Fleet* fleet = nullptr;
 };
 
 }   // namespace slatejunction::ingress
--- a/src/ini/ini.cpp
+++ b/src/ini/ini.cpp
@@ -3,11 +3,14 @@
 #include <ini.h>
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <cmath>
 #include <fstream>
+#include <list>
 #include <set>
 #include <sstream>
+#include <utility>
 
 namespace slatejunction::ini {
 namespace {
@@ -36,33 +39,68 @@
 struct Reading {
     const std::string& path;
     const std::vector<Section*>& sections;
+    const std::vector<Family>& families;
+    std::vector<bool> more;   // of each line with a value in turn: it goes on with the one before it
+    std::list<Section> made;
     std::vector<std::string> faults;
     std::set<std::pair<std::string, std::string>> seen;
     std::set<std::string> unknown;   // sections that were told already
-    std::set<std::string> named;
+    std::size_t lines = 0;
+    std::string section, key, value;   // not taken yet, as lines may follow
 
     void fault(const std::string& section, const std::string& key, const std::string& why) {
         faults.push_back(path + ": [" + section + "]" + (key.empty() ? "" : " " + key) + ": " + why);
     }
-    void take(const std::string& section, const std::string& key, const std::string& value) {
-        const auto at = std::find_if(sections.begin(), sections.end(),
-                                     [&](const Section* one) { return one->name() == section; });
-        if (at == sections.end()) {
-            if (unknown.insert(section).second) fault(section, "", "unknown section");
+    void line(const std::string& its_section, const std::string& its_key, const std::string& text) {
+        if (lines < more.size() && more[lines++]) {
+            value += "\n" + text;
             return;
         }
-        named.insert(section);
-        const auto& keys = (*at)->keys();
+        take();
+        section = its_section, key = its_key, value = text;
+    }
+    Section* find(const std::string& name) {
+        const auto at = std::find_if(sections.begin(), sections.end(),
+                                     [&](const Section* one) { return one->name() == name; });
+        if (at != sections.end()) return *at;
+        for (Section& one : made)
+            if (one.name() == name) return &one;
+        for (const Family& family : families) {
+            if (!name.starts_with(family.kind + " ")) continue;
+            const std::string own = trimmed(name.substr(family.kind.size()));
+            const bool good =
+                !own.empty() && own.size() <= 40 && std::all_of(own.begin(), own.end(), [](char c) {
+                    return std::isalnum(static_cast<unsigned char>(c)) || c == '_' || c == '-';
+                });
+            if (!good) {
+                if (unknown.insert(name).second)
+                    fault(name, "", "a name is of 1 to 40 letters, digits, '_' and '-'");
+                return nullptr;
+            }
+            made.push_back(family.make(own));
+            return &made.back();
+        }
+        if (unknown.insert(name).second) fault(name, "", "unknown section");
+        return nullptr;
+    }
+    void take() {
+        if (key.empty()) return;
+        const std::string its_key = std::exchange(key, {});
+        Section* const at = find(section);
+        if (!at) return;
+        const auto& keys = at->keys();
         const auto one =
-            std::find_if(keys.begin(), keys.end(), [&](const Key& each) { return each.name == key; });
-        if (one == keys.end()) return fault(section, key, "unknown key");
-        if (!seen.emplace(section, key).second) return fault(section, key, "given twice");
-        if (const std::string why = one->take(value); !why.empty()) fault(section, key, why);
+            std::find_if(keys.begin(), keys.end(), [&](const Key& each) { return each.name == its_key; });
+        if (one == keys.end()) return fault(section, its_key, "unknown key");
+        if (!seen.emplace(section, its_key).second) return fault(section, its_key, "given twice");
+        if (!one->lines && value.find('\n') != std::string::npos)
+            return fault(section, its_key, "does not go over several lines");
+        if (const std::string why = one->take(value); !why.empty()) fault(section, its_key, why);
     }
 };
 
 int on_pair(void* data, const char* section, const char* name, const char* value) {
-    static_cast<Reading*>(data)->take(section, name ? name : "", value ? value : "");
+    static_cast<Reading*>(data)->line(section, name ? name : "", value ? value : "");
     return 1;
 }
 
@@ -79,6 +117,11 @@
                      }});
 }
 
+void Section::lines(std::string key, std::string& value, std::string help) {
+    text(std::move(key), value, std::move(help));
+    keys_.back().lines = true;
+}
+
 void Section::integer(std::string key, std::int64_t& value, std::int64_t least, std::int64_t most,
                       std::string unit, std::string help) {
     keys_.push_back({std::move(key), std::move(unit), std::move(help), std::to_string(value),
@@ -145,8 +188,9 @@
                      }});
 }
 
-std::vector<std::string> read(const std::string& path, const std::vector<Section*>& sections) {
-    Reading reading{path, sections, {}, {}, {}, {}};
+std::vector<std::string> read(const std::string& path, const std::vector<Section*>& sections,
+                              const std::vector<Family>& families) {
+    Reading reading{path, sections, families, {}, {}, {}, {}, {}, 0, {}, {}, {}};
     std::ifstream in(path, std::ios::binary);
     std::stringstream bytes;
     bytes << in.rdbuf();
@@ -154,20 +198,29 @@
     const std::string text = bytes.str();
     std::istringstream lines(text);
     std::string line;
+    bool key_before = false;   // an indented line is more of the value before it
     for (int number = 1; std::getline(lines, line); ++number) {
         const std::string where = path + ": line " + std::to_string(number) + ": ";
         if (line.size() > kLineMost) reading.faults.push_back(where + "over 190 bytes");
         if (line.find('\0') != std::string::npos) reading.faults.push_back(where + "a NUL byte");
-        // The library would take an indented line for more of the value before it.
-        if (!line.empty() && (line[0] == ' ' || line[0] == '\t') && !trimmed(line).empty())
+        const std::string content = trimmed(line);
+        if (content.empty() || content == "\r") continue;
+        const bool indented = line[0] == ' ' || line[0] == '\t';
+        if (indented && (!key_before || content[0] == '#' || content[0] == ';'))
             reading.faults.push_back(where + "indented");
+        if (content[0] == '#' || content[0] == ';') continue;
+        key_before = content[0] != '[' || indented;
+        if (key_before) reading.more.push_back(indented);
     }
     if (!reading.faults.empty()) return reading.faults;
     if (const int number = ini_parse_string(text.c_str(), on_pair, &reading); number != 0)
         reading.faults.push_back(path + ": line " + std::to_string(number) +
                                  ": neither [section] nor key = value");
+    reading.take();
+    std::vector<const Section*> all(sections.begin(), sections.end());
+    for (const Section& one : reading.made) all.push_back(&one);
     if (reading.faults.empty())
-        for (const Section* section : sections)
+        for (const Section* section : all)
             if (const std::string why = section->check_whole(); !why.empty()) {
                 const std::size_t mark = why.find(": ");
                 reading.fault(section->name(), why.substr(0, mark), why.substr(mark + 2));
@@ -175,15 +228,23 @@
     return reading.faults;
 }
 
-std::string sample(const std::vector<Section*>& sections) {
+std::string sample(const std::vector<Section*>& sections, const std::vector<Family>& families) {
     std::string text;
+    const auto keys = [&](const Section& section, const char* before) {
+        for (const Key& key : section.keys()) {
+            text += "# " + key.help + (key.unit.empty() ? "" : " (" + key.unit + ")") + "\n";
+            text += before + key.name + " =" + (key.standard.empty() ? "" : " ") + key.standard + "\n";
+        }
+    };
     for (const Section* section : sections) {
         text += (text.empty() ? "" : "\n") + std::string("# ") + section->help() + "\n[" + section->name() +
                 "]\n";
-        for (const Key& key : section->keys()) {
-            text += "# " + key.help + (key.unit.empty() ? "" : " (" + key.unit + ")") + "\n";
-            text += "# " + key.name + " =" + (key.standard.empty() ? "" : " ") + key.standard + "\n";
-        }
+        keys(*section, "# ");
+    }
+    for (const Family& family : families) {
+        const Section one = family.make("NAME");
+        text += "\n# " + family.help + "\n#[" + one.name() + "]\n";
+        keys(one, "#   ");
     }
     return text;
 }
--- a/src/ini/ini.hpp
+++ b/src/ini/ini.hpp
@@ -14,6 +14,7 @@
 struct Key {
     std::string name, unit, help, standard;                     // unit empty: it has none
     std::function<std::string(const std::string& text)> take;   // empty: taken; else what is wrong with it
+    bool lines = false;   // may go on over indented lines, which are joined by line ends
 };
 
 // The keys of one section. The values given stay as they are where the file does not name a key, so they
@@ -24,6 +25,8 @@
 
     void text(std::string key, std::string& value, std::string help,
               std::function<std::string(const std::string&)> check = {});
+    // The same over several lines: those behind the first are indented.
+    void lines(std::string key, std::string& value, std::string help);
     void integer(std::string key, std::int64_t& value, std::int64_t least, std::int64_t most,
                  std::string unit, std::string help);
     void real(std::string key, double& value, double least, double most, std::string unit,
@@ -47,12 +50,21 @@
     std::function<std::string()> whole_;
 };
 
+// Sections of one kind, each with a name of its own: [route NAME]. Names are of letters, digits, '_' and
+// '-'.
+struct Family {
+    std::string kind, help;
+    std::function<Section(const std::string& name)> make;   // called once for each name
+};
+
 // All faults of the file, one line each, in the file's order; empty when it was taken. Faults: unknown
 // section or key, a key given twice, a value of the wrong type or out of range, a line that is none or is
-// longer than 190 bytes, a file that can't be read. After a fault the values are not to be used.
-std::vector<std::string> read(const std::string& path, const std::vector<Section*>& sections);
+// longer than 190 bytes, an indented line behind a key that has none, a file that can't be read. After a
+// fault the values are not to be used.
+std::vector<std::string> read(const std::string& path, const std::vector<Section*>& sections,
+                              const std::vector<Family>& families = {});
 
 // A file with every key, its unit and its default, commented out.
-std::string sample(const std::vector<Section*>& sections);
+std::string sample(const std::vector<Section*>& sections, const std::vector<Family>& families = {});
 
 }   // namespace slatejunction::ini
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -229,6 +229,8 @@
         json.Double(r.seconds);
         json.Key("worth");
         json.Double(r.worth);
+        for (const auto& [name, value] : r.tags)
+            put_text(json, ("tag_" + std::string(name)).c_str(), value);
         json.EndObject();
         logger_->log(spdlog::level::info, spdlog::string_view_t(line.GetString(), line.GetSize()));
         return;
@@ -245,6 +247,7 @@
     std::snprintf(figures, sizeof figures, " attempts=%llu seconds=%.6f worth=%.6f",
                   static_cast<unsigned long long>(r.attempts), r.seconds, r.worth);
     line += figures;
+    for (const auto& [name, value] : r.tags) put_word(line, ("tag_" + std::string(name)).c_str(), value);
     logger_->log(spdlog::level::info, spdlog::string_view_t(line.data(), line.size()));
 }
 
--- a/src/log/log.hpp
+++ b/src/log/log.hpp
@@ -4,7 +4,9 @@
 
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string_view>
+#include <utility>
 
 #include "log/settings.hpp"
 
@@ -21,6 +23,7 @@
     std::uint64_t attempts = 0;
     double seconds = 0;   // from its last byte to its final answer
     double worth = 0;     // earned by the answer
+    std::span<const std::pair<std::string_view, std::string_view>> tags = {};   // of rules: name, value
 };
 
 class Log {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -43,6 +43,16 @@
     return faults.empty();
 }
 
+// Compiled anew beside the ones in force.
+std::unique_ptr<sj::rules::Rules> load_rules(const sj::operating::Options& options,
+                                             sj::ingress::Ingress& ingress,
+                                             const sj::rules::GatewayFacts& name,
+                                             std::vector<std::string>& faults) {
+    return sj::rules::Rules::load(
+        options.rules, name, faults,
+        [&ingress](const std::string& rule, std::string_view why) { ingress.on_rule_error(rule, why); });
+}
+
 struct Program {
     const int fd;
     sj::ingress::Ingress& ingress;
@@ -50,6 +60,7 @@
     sj::Log& log;
     const sj::directory::UnixClock& clock;
     const Files& files;
+    const sj::rules::GatewayFacts& name;
     sj::operating::Options options;
 
     // SIGHUP: the files have changed. Guards against one that is broken or half written: nothing of either
@@ -66,7 +77,14 @@
         if (!good) return;
         try {
             const auto config = sj::config::load(files.config, clock, sj::config::Moment::reload);
-            if (!files.options.empty()) take(fresh);
+            if (!files.options.empty()) {
+                std::vector<std::string> faults;
+                const bool other = fresh.rules != options.rules;
+                auto rules = fresh.rules.any() ? load_rules(fresh, ingress, name, faults) : nullptr;
+                for (const std::string& fault : faults) throw std::runtime_error(fault);
+                take(fresh);
+                if (other) ingress.set_rules(std::move(rules));
+            }
             ingress.reload(config);
         } catch (const std::exception& bad) {
             log.write(sj::Log::Level::error, now, "reload refused, nothing changes: %s", bad.what());
@@ -111,6 +129,7 @@
     const sj::net::Loop loop(g_main_loop_new(nullptr, FALSE));
     sj::config::Config config = sj::config::load(files.config, clock);
     sj::config::hold_descriptors(config);
+    const sj::rules::GatewayFacts name{config.name, config.settings.zone};
     sj::net::Timers timers;   // one for all: each source of the loop costs every wake-up a look
     // Nothing is made, counted or looked at where the operator's file names nothing of it.
     std::unique_ptr<sj::telemetry::Telemetry> telemetry;
@@ -127,12 +146,17 @@
                 quit();
         },
         telemetry.get());
+    if (options.rules.any()) {
+        std::vector<std::string> faults;   // none: the file was checked as a whole
+        ingress.set_rules(load_rules(options, ingress, name, faults));
+    }
     Program program{signalfd(-1, &numbers, SFD_CLOEXEC | SFD_NONBLOCK),
                     ingress,
                     telemetry.get(),
                     log,
                     clock,
                     files,
+                    name,
                     options};
     const sj::net::Source source(g_unix_fd_source_new(program.fd, G_IO_IN));
     g_source_set_callback(source.get(), G_SOURCE_FUNC(&Program::on_signal), &program, nullptr);
--- a/src/metrics/measures.cpp
+++ b/src/metrics/measures.cpp
@@ -34,7 +34,7 @@
     return {words.begin(), words.end()};
 }
 
-std::vector<Label> labels_of(Id id, const std::vector<std::string>& classes,
+std::vector<Label> labels_of(Id id, const Measures::Shape& shape, const std::vector<std::string>& classes,
                              const std::vector<std::string>& plans) {
     const Label service{"class", classes}, plan{"plan", plans}, ending{"outcome", all(kEndings)};
     switch (id) {
@@ -56,6 +56,18 @@
             return {{"reason", all(kDropped)}};
         case Id::rw_batches:
             return {{"result", all(kBatches)}};
+        case Id::rule_matches:
+        case Id::rule_errors:
+            return {{"rule", shape.rules}};
+        case Id::route_spills:
+            return {{"route", shape.routes}};
+        case Id::limit_refusals:
+        case Id::limit_keys:
+        case Id::limit_forgotten:
+        case Id::limit_passed:
+            return {{"limit", shape.limits}};
+        case Id::subset_providers:
+            return {{"subset", shape.subsets}};
         case Id::providers:
             return {{"state", all(kStates)}};
         case Id::connections:
@@ -82,6 +94,18 @@
     return rows;
 }
 
+// The tags' values are not the same for each, so no combinations.
+std::vector<Labels> rows_of(Id id, const Measures::Shape& shape, const std::vector<std::string>& classes,
+                            const std::vector<std::string>& plans) {
+    if (id != Id::tagged) return combinations(labels_of(id, shape, classes, plans));
+    std::vector<Labels> rows;
+    for (const auto& [name, values] : shape.tags) {
+        for (const std::string& value : values) rows.push_back({{"tag", name}, {"value", value}});
+        rows.push_back({{"tag", name}, {"value", "other"}});
+    }
+    return rows;
+}
+
 }   // namespace
 
 std::string markdown() {
@@ -121,7 +145,7 @@
         const Id id = static_cast<Id>(number_of);
         const bool gauge = family.type == Type::gauge;
         layout.places.push_back({gauge ? layout.gauges : layout.names.size(), gauge});
-        for (const Labels& labels : combinations(labels_of(id, classes, plans))) {
+        for (const Labels& labels : rows_of(id, shape, classes, plans)) {
             const auto series = [&](const char* suffix, std::size_t source) {
                 layout.series.push_back({id, std::string(family.name) + suffix, labels});
                 layout.sources.push_back(static_cast<std::uint32_t>(source));
--- a/src/metrics/measures.hpp
+++ b/src/metrics/measures.hpp
@@ -52,6 +52,10 @@
     struct Shape {
         std::vector<ServiceClass> classes;
         std::vector<Plan> plans;
+        // Names of the operator's rules, each with its kind before it as in "route a"; of tags also the
+        // values.
+        std::vector<std::string> rules = {}, routes = {}, limits = {}, subsets = {};
+        std::vector<std::pair<std::string, std::vector<std::string>>> tags = {};
     };
     // Figures in memory, or in the file at `path`; see store::Cells for what that throws.
     Measures(Shape shape, std::int64_t now_ms, const std::string& path = {});
--- a/src/metrics/reasons.hpp
+++ b/src/metrics/reasons.hpp
@@ -7,9 +7,11 @@
 
 namespace slatejunction::metrics {
 
-// First the module's (slatejunction::Reason), then the door's own. The numbers are stable: files keep them.
-inline constexpr std::array<std::string_view, 8> kReasons{
-    "quota", "ceiling", "fraction", "open_work", "no_provider", "attempts", "malformed", "open_limit"};
+// The module's (slatejunction::Reason), and among them the door's own, open_limit. The numbers are stable:
+// files keep them.
+inline constexpr std::array<std::string_view, 9> kReasons{"quota",     "ceiling",     "fraction",
+                                                          "open_work", "no_provider", "attempts",
+                                                          "malformed", "open_limit",  "limit"};
 inline constexpr std::size_t kQuota = 0;
 inline constexpr std::size_t kOpenLimit = 7;   // limits.max_open
 
--- a/src/metrics/table.hpp
+++ b/src/metrics/table.hpp
@@ -52,9 +52,19 @@
     rw_backlog_limit,
     rw_backlog_age,
     rw_last_success,
+    rule_matches,
+    rule_errors,
+    rule_cost,
+    route_spills,
+    limit_refusals,
+    limit_keys,
+    limit_forgotten,
+    limit_passed,
+    subset_providers,
+    tagged,
 };
 
-inline constexpr std::array<Family, 32> kFamilies{{
+inline constexpr std::array<Family, 42> kFamilies{{
     {"slatejunction_requests_total", Type::counter, "requests", "class,plan,outcome",
      "Finished requests; outcome is served, refused or failed."},
     {"slatejunction_refusals_total", Type::counter, "requests", "class,plan,reason",
@@ -111,6 +121,24 @@
      "Age of the oldest sample that waits; 0 when none does."},
     {"slatejunction_remote_write_last_success_seconds", Type::gauge, "Unix seconds", "",
      "When the receiver last took a batch; the start before the first."},
+    {"slatejunction_rule_matches_total", Type::counter, "matches", "rule",
+     "Conditions of rules that held: of requests, of subsets each time that a provider was looked at."},
+    {"slatejunction_rule_errors_total", Type::counter, "errors", "rule",
+     "Expressions of rules that ended in an error, and so did not match."},
+    {"slatejunction_rule_cost_units_total", Type::counter, "units", "", "Cost spent on all rules."},
+    {"slatejunction_route_spills_total", Type::counter, "requests", "route",
+     "Requests of a route that went to the whole fleet in place of its subset."},
+    {"slatejunction_limit_refusals_total", Type::counter, "requests", "limit",
+     "Requests refused as a key was over the limit."},
+    {"slatejunction_limit_keys", Type::gauge, "keys", "limit", "Keys held by the limit."},
+    {"slatejunction_limit_keys_forgotten_total", Type::counter, "keys", "limit",
+     "Keys that gave way to others before their store was full again."},
+    {"slatejunction_limit_passed_total", Type::counter, "requests", "limit",
+     "Requests let pass as their key is not among those held."},
+    {"slatejunction_subset_providers", Type::gauge, "providers", "subset",
+     "Ready providers that the subset's condition names."},
+    {"slatejunction_tagged_requests_total", Type::counter, "requests", "tag,value",
+     "Finished requests by the tag's values; other stands for those that it does not name."},
 }};
 
 constexpr const Family& family(Id id) { return kFamilies[static_cast<std::size_t>(id)]; }
--- a/src/operator/options.cpp
+++ b/src/operator/options.cpp
@@ -1,5 +1,7 @@
 #include "operator/options.hpp"
 
+#include "rules/rules.hpp"
+
 namespace slatejunction::operating {
 namespace {
 
@@ -17,17 +19,23 @@
     all.push_back(metrics.section());
     all.push_back(metrics.state());
     all.push_back(remote_write.section());
+    all.push_back(rules.section());
     return all;
 }
 
 std::vector<std::string> load(const std::string& path, Options& options) {
     Options fresh;
     auto sections = fresh.sections();
-    std::vector<std::string> faults = ini::read(path, pointers(sections));
+    std::vector<std::string> faults = ini::read(path, pointers(sections), fresh.rules.families());
     if (faults.empty() && !fresh.metrics.directory.empty() &&
         fresh.metrics.directory == fresh.remote_write.backlog_directory)
         faults.push_back(path +
                          ": [remote_write] backlog_directory: is [state] directory too; each has its own");
+    if (faults.empty()) {
+        std::vector<std::string> of_rules;
+        rules::Rules::load(fresh.rules, {}, of_rules);
+        for (const std::string& fault : of_rules) faults.push_back(path + ": " + fault);
+    }
     if (faults.empty()) options = fresh;
     return faults;
 }
@@ -38,7 +46,7 @@
     return "# slatejunction: the operator's own file, given with --operator FILE. Every key stands here "
            "with its\n"
            "# default. The platform's settings are not here but in the file that NODE_CONFIG names.\n\n" +
-           ini::sample(pointers(sections));
+           ini::sample(pointers(sections), standard.rules.families());
 }
 
 }   // namespace slatejunction::operating
--- a/src/operator/options.hpp
+++ b/src/operator/options.hpp
@@ -8,6 +8,7 @@
 #include "log/settings.hpp"
 #include "metrics/settings.hpp"
 #include "remotewrite/settings.hpp"
+#include "rules/settings.hpp"
 
 namespace slatejunction::operating {
 
@@ -15,6 +16,7 @@
     logging::Settings log;
     metrics::Settings metrics;
     remotewrite::Settings remote_write;
+    rules::Settings rules;
 
     bool collects() const { return metrics.collect == 1 || !remote_write.url.empty(); }
     std::vector<ini::Section> sections();   // they write into this object
--- /dev/null
+++ b/src/rules/matcher.hpp
@@ -0,0 +1,54 @@
+// Which of many conditions can hold for a request, without running them all. What a condition demands of
+// the class, the plan and the path is read from its tree: the parts that && joins at its top, of the forms
+//   request.class == "x"    request.plan == "x"    request.class in ["x", "y"]    request.path == "/x"
+//   request.path.startsWith("/x")
+// A condition left out by one of these would have been false: && is false when one part is.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "expr/program.hpp"
+
+namespace slatejunction::rules {
+
+class Matcher {
+  public:
+    // `conditions` in the order in which they are to be tried; null: always holds. Only read here.
+    explicit Matcher(const std::vector<const expr::Program*>& conditions);
+
+    // Numbers of the conditions that can hold, in their order. Valid until the next call.
+    const std::vector<std::uint32_t>& candidates(std::string_view service_class, std::string_view plan,
+                                                 std::string_view path);
+    std::size_t size() const { return demands_.size(); }
+
+  private:
+    struct Demand {
+        std::vector<std::string> classes, plans;   // one of these; empty: any
+        std::string path;                          // begins with; empty: any
+    };
+    struct TextHash {
+        using is_transparent = void;
+        std::size_t operator()(std::string_view text) const { return std::hash<std::string_view>()(text); }
+    };
+    // Those left for one class and plan.
+    struct Group {
+        std::vector<std::uint32_t> any;     // of any path
+        std::vector<std::size_t> lengths;   // of the paths' beginnings, rising
+        std::unordered_map<std::string, std::vector<std::uint32_t>, TextHash, std::equal_to<>> paths;
+    };
+    static Demand demand_of(const expr::Program& program);
+    Group group_of(std::string_view service_class, std::string_view plan) const;
+
+    std::vector<Demand> demands_;
+    std::unordered_map<std::string, Group, TextHash, std::equal_to<>>
+        groups_;   // by class, a zero byte, plan
+    std::string key_;
+    std::vector<std::uint32_t> found_;
+};
+
+}   // namespace slatejunction::rules
--- /dev/null
+++ b/src/rules/rules.cpp
@@ -0,0 +1,322 @@
+#include "rules/rules.hpp"
+
+#include <algorithm>
+#include <bit>
+#include <numeric>
+#include <unordered_set>
+
+namespace slatejunction::rules {
+namespace {
+
+using expr::Value;
+
+// The bytes that a key is hashed by: each value behind its kind, texts behind their size, so that no two
+// keys of different form are the same bytes.
+void append_key(std::string& key, const Value& value) {
+    key += static_cast<char>(value.kind());
+    const auto number = [&](std::uint64_t bits) {
+        for (int i = 0; i < 8; ++i) key += static_cast<char>(bits >> (8 * i));
+    };
+    switch (value.kind()) {
+        case expr::Kind::boolean:
+            key += value.truth() ? '\1' : '\0';
+            break;
+        case expr::Kind::text:
+            number(value.size());
+            key += value.view();
+            break;
+        case expr::Kind::list:
+            number(value.size());
+            for (const Value& one : value.items()) append_key(key, one);
+            break;
+        default:
+            number(value.natural());
+    }
+}
+
+std::vector<const expr::Program*> pointers(const auto& rules) {
+    std::vector<const expr::Program*> all;
+    for (const auto& rule : rules) all.push_back(&rule.when);
+    return all;
+}
+
+}   // namespace
+
+Rules::Rules(const Settings& settings, const GatewayFacts& gateway, ErrorHost on_error)
+    : settings_(settings),
+      gateway_(gateway),
+      on_error_(std::move(on_error)),
+      route_matcher_({}),
+      limit_matcher_({}),
+      tag_matcher_({}),
+      source_(gateway_) {}
+
+std::unique_ptr<Rules> Rules::load(const Settings& settings, const GatewayFacts& gateway,
+                                   std::vector<std::string>& faults, ErrorHost on_error) {
+    std::unique_ptr<Rules> rules(new Rules(settings, gateway, std::move(on_error)));
+    return rules->compile_all(faults) ? std::move(rules) : nullptr;
+}
+
+bool Rules::compile_all(std::vector<std::string>& faults) {
+    const std::size_t before = faults.size();
+    const expr::Environment of_request = environment(Scope::request),
+                            of_provider = environment(Scope::provider);
+    const auto fault = [&](const std::string& section, const std::string& key, const std::string& why) {
+        faults.push_back("[" + section + "] " + key + ": " + why);
+    };
+    const auto load = [&](const std::string& section, const char* key, const std::string& source,
+                          const expr::Environment& environment, expr::LoadOptions options) {
+        options.max_cost = static_cast<expr::cost::Units>(settings_.max_cost);
+        try {
+            return expr::compile(source, environment, options);
+        } catch (const expr::LoadError& error) {
+            fault(section, key, describe(error, source));
+            return expr::Program();
+        }
+    };
+    const expr::LoadOptions condition{.wanted = expr::Type::Tag::boolean}, key{.any_key = true},
+        text{.wanted = expr::Type::Tag::text};
+    const auto too_many = [&](const char* kind, std::size_t count, std::size_t most) {
+        if (count > most)
+            fault(kind, std::to_string(count), "more than " + std::to_string(most) + " of these");
+    };
+    too_many("subset", settings_.subsets.size(), kSubsetsMost);
+    too_many("route", settings_.routes.size(), kRoutesMost);
+    too_many("limit", settings_.limits.size(), kLimitsMost);
+    too_many("tag", settings_.tags.size(), kTagsMost);
+    if (faults.size() > before) return false;
+
+    for (const SubsetSettings& one : settings_.subsets) {
+        subsets_.push_back(load("subset " + one.name, "providers", one.providers, of_provider, condition));
+        counts_.push_back({"subset " + one.name});
+    }
+    std::vector<std::size_t> order(settings_.routes.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+        return settings_.routes[a].order < settings_.routes[b].order;
+    });
+    for (const RouteSettings& one : settings_.routes) counts_.push_back({"route " + one.name});
+    for (const std::size_t place : order) {
+        const RouteSettings& one = settings_.routes[place];
+        Route& route = routes_.emplace_back();
+        route.place = place;
+        route.when = load("route " + one.name, "when", one.when, of_request, condition);
+        route.spill = static_cast<slatejunction::Spill>(one.spill);
+        const auto subset =
+            std::find_if(settings_.subsets.begin(), settings_.subsets.end(),
+                         [&](const SubsetSettings& each) { return each.name == one.subset; });
+        if (subset != settings_.subsets.end())
+            route.subset = std::uint64_t{1} << (subset - settings_.subsets.begin());
+        else if (!one.subset.empty())
+            fault("route " + one.name, "subset", "there is no [subset " + one.subset + "]");
+    }
+    for (const LimitSettings& one : settings_.limits) {
+        const std::string section = "limit " + one.name;
+        Limit& limit = limits_.emplace_back();
+        limit.always = one.when.empty();
+        limit.when = load(section, "when", limit.always ? "true" : one.when, of_request, condition);
+        limit.key = load(section, "key", one.key, of_request, key);
+        if (one.rate <= 0 && one.max_out <= 0) fault(section, "rate", "neither rate nor max_out is set");
+        limit.limiter = std::make_shared<Limiter>(Limiter::Limits{one.rate, one.burst,
+                                                                  static_cast<std::uint32_t>(one.max_out),
+                                                                  static_cast<std::size_t>(one.keys_max)});
+        counts_.push_back({section});
+    }
+    for (const TagSettings& one : settings_.tags) {
+        const std::string section = "tag " + one.name;
+        Tag& tag = tags_.emplace_back();
+        tag.always = one.when.empty();
+        tag.when = load(section, "when", tag.always ? "true" : one.when, of_request, condition);
+        tag.value = load(section, "value", one.value, of_request, text);
+        counts_.push_back({section});
+    }
+    if (faults.size() > before) return false;
+    route_matcher_ = Matcher(pointers(routes_));
+    limit_matcher_ = Matcher(pointers(limits_));
+    tag_matcher_ = Matcher(pointers(tags_));
+    return true;
+}
+
+void Rules::adopt(const Rules& other) {
+    for (std::size_t i = 0; i < limits_.size(); ++i)
+        for (std::size_t k = 0; k < other.limits_.size(); ++k)
+            if (settings_.limits[i] == other.settings_.limits[k])
+                limits_[i].limiter = other.limits_[k].limiter;
+    std::unordered_map<std::string_view, const RuleCount*> before;
+    for (const RuleCount& one : other.counts_) before.emplace(one.name, &one);
+    for (RuleCount& one : counts_)
+        if (const auto at = before.find(one.name); at != before.end()) one = *at->second;
+    spent_ = other.spent_;
+}
+
+expr::cost::Units Rules::bound() const {
+    expr::cost::Units all = 0;
+    for (const Route& one : routes_) all = expr::cost::plus(all, one.when.bound);
+    for (const Limit& one : limits_) all = expr::cost::plus(all, one.when.bound, one.key.bound);
+    for (const Tag& one : tags_) all = expr::cost::plus(all, one.when.bound, one.value.bound);
+    return all;
+}
+
+void Rules::error(std::size_t rule, std::string_view why) {
+    ++counts_[rule].errors;
+    if (on_error_) on_error_(counts_[rule].name, why);
+}
+
+Value Rules::value(const expr::Program& program, std::size_t rule) {
+    const expr::Outcome outcome = evaluator_.run(program, source_);
+    spent_ += outcome.cost;
+    if (outcome.value.is_error()) error(rule, outcome.value.view());
+    return outcome.value;
+}
+
+bool Rules::holds(const expr::Program& program, std::size_t rule) {
+    const Value held = value(program, rule);
+    const bool yes = held.is(expr::Kind::boolean) && held.truth();
+    counts_[rule].matches += yes;
+    return yes;
+}
+
+Verdict Rules::judge(double now, const RequestFacts& request) {
+    Verdict verdict;
+    source_.begin(&request, nullptr);
+    evaluator_.reset();
+    for (const std::uint32_t number :
+         route_matcher_.candidates(request.service_class, request.plan, request.path)) {
+        const Route& route = routes_[number];
+        if (!holds(route.when, route_rule(route.place))) continue;
+        verdict.route = route.place;
+        verdict.subset = route.subset;
+        verdict.spill = route.spill;
+        break;
+    }
+    if (!limits_.empty()) find_limits(now, request, verdict);
+    if (!tags_.empty()) find_tags(request, verdict);
+    return verdict;
+}
+
+void Rules::find_limits(double now, const RequestFacts& request, Verdict& verdict) {
+    for (const std::uint32_t number :
+         limit_matcher_.candidates(request.service_class, request.plan, request.path)) {
+        Limit& limit = limits_[number];
+        const std::size_t rule = limit_rule(number);
+        if (limit.always)
+            ++counts_[rule].matches;
+        else if (!holds(limit.when, rule))
+            continue;
+        const Value key = value(limit.key, rule);
+        if (key.is_error()) continue;
+        key_.clear();
+        append_key(key_, key);
+        Verdict::Hit& hit = verdict.hits.emplace_back();
+        hit.limiter = limit.limiter;
+        hit.count = settings_.limits[number].count == 1 ? request.units : 1;
+        const double wait = limit.limiter->look(now, hash_key(key_), hit.count, hit.ticket);
+        if (wait <= verdict.over_limit_s) continue;
+        verdict.over_limit_s = wait;
+        verdict.over = number;
+    }
+}
+
+void Rules::find_tags(const RequestFacts& request, Verdict& verdict) {
+    for (const std::uint32_t number :
+         tag_matcher_.candidates(request.service_class, request.plan, request.path)) {
+        const Tag& tag = tags_[number];
+        const std::size_t rule = tag_rule(number);
+        if (tag.always)
+            ++counts_[rule].matches;
+        else if (!holds(tag.when, rule))
+            continue;
+        const Value text = value(tag.value, rule);
+        if (text.is(expr::Kind::text)) verdict.tags.emplace_back(number, text.view());
+    }
+}
+
+void Rules::sent(double now, Verdict& verdict, bool spilled) {
+    for (Verdict::Hit& hit : verdict.hits) hit.limiter->take(now, hit.ticket, hit.count);
+    if (spilled && verdict.route != Verdict::kNone && verdict.route < routes_.size())
+        ++counts_[route_rule(verdict.route)].spills;
+}
+
+void Rules::refused(const Verdict& verdict) {
+    if (verdict.over < limits_.size()) ++counts_[limit_rule(verdict.over)].refusals;
+}
+
+void Rules::ended(double now, Verdict& verdict) {
+    for (Verdict::Hit& hit : verdict.hits) hit.limiter->release(now, hit.ticket);
+    verdict.hits.clear();
+}
+
+std::uint64_t Rules::subsets_of(const ProviderFacts& provider) {
+    std::uint64_t bits = 0;
+    source_.begin(nullptr, &provider);
+    evaluator_.reset();
+    for (std::size_t i = 0; i < subsets_.size(); ++i)
+        if (holds(subsets_[i], i)) bits |= std::uint64_t{1} << i;
+    return bits;
+}
+
+// The fleet. --------------------------------------------------------------------------------------------
+
+std::uint64_t Fleet::match(double now, const slatejunction::ListEntry& entry, Rules* rules) {
+    if (!rules) return 0;
+    ProviderFacts facts;
+    facts.id = entry.server;
+    facts.locality = entry.zone;
+    facts.flavor = entry.kind;
+    facts.cell = entry.cell;
+    facts.size = entry.capacity_hint;
+    facts.age_s = entry.born_s > 0 ? std::max(0.0, now - entry.born_s) : 0;
+    return rules->subsets_of(facts);
+}
+
+void Fleet::update(double now, slatejunction::ListUpdate& list, Rules* rules) {
+    if (list.kind == slatejunction::ListKind::lost) return;
+    if (list.kind != slatejunction::ListKind::changes) known_.clear();
+    for (const slatejunction::ListEntry& entry : list.entries) {
+        if (entry.state == slatejunction::ServerState::in)
+            known_[entry.server] = {entry, match(now, entry, rules)};
+        else
+            known_.erase(entry.server);
+    }
+    settle(rules, list, list.entries.size());
+}
+
+slatejunction::ListUpdate Fleet::reload(double now, Rules* rules) {
+    for (auto& [id, known] : known_) known.matched = match(now, known.entry, rules);
+    slatejunction::ListUpdate list;
+    settle(rules, list, 0);
+    return list;
+}
+
+// Leaves out the subsets that are under their least, tells the entries that are in the list and adds the
+// others that have changed, in the order of their names.
+void Fleet::settle(Rules* rules, slatejunction::ListUpdate& list, std::size_t told) {
+    const std::size_t count = rules ? rules->subset_count() : 0;
+    counts_.assign(count, 0);
+    for (const auto& [id, known] : known_)
+        for (std::uint64_t left = known.matched; left != 0; left &= left - 1)
+            ++counts_[static_cast<std::size_t>(std::countr_zero(left))];
+    std::uint64_t allowed = 0;
+    for (std::size_t i = 0; i < count; ++i)
+        if (counts_[i] >= static_cast<std::size_t>(rules->subset(i).least))
+            allowed |= std::uint64_t{1} << i;
+    std::vector<const Known*> changed;
+    for (auto& [id, known] : known_) {
+        const std::uint64_t subsets = known.matched & allowed;
+        if (subsets == known.entry.subsets) continue;
+        known.entry.subsets = subsets;
+        changed.push_back(&known);
+    }
+    for (std::size_t i = 0; i < told; ++i)
+        if (const auto at = known_.find(list.entries[i].server);
+            at != known_.end() && list.entries[i].state == slatejunction::ServerState::in)
+            list.entries[i].subsets = at->second.entry.subsets;
+    std::sort(changed.begin(), changed.end(),
+              [](const Known* a, const Known* b) { return a->entry.server < b->entry.server; });
+    std::unordered_set<std::string> names;   // copied, as the list grows
+    for (std::size_t i = 0; i < told; ++i) names.insert(list.entries[i].server);
+    for (const Known* one : changed)
+        if (!names.contains(one->entry.server)) list.entries.push_back(one->entry);
+}
+
+}   // namespace slatejunction::rules
--- a/src/telemetry/telemetry.cpp
+++ b/src/telemetry/telemetry.cpp
@@ -29,6 +29,23 @@
     return static_cast<double>(resident) * static_cast<double>(sysconf(_SC_PAGESIZE));
 }
 
+metrics::Measures::Shape shape_of(const config::Config& config, const rules::Settings& rules) {
+    metrics::Measures::Shape shape{config.settings.classes, config.settings.plans, {}, {}, {}, {}, {}};
+    const auto add = [&](const char* kind, const std::string& name, std::vector<std::string>& names) {
+        shape.rules.push_back(std::string(kind) + " " + name);
+        names.push_back(name);
+    };
+    std::vector<std::string> tags;
+    for (const auto& one : rules.subsets) add("subset", one.name, shape.subsets);
+    for (const auto& one : rules.routes) add("route", one.name, shape.routes);
+    for (const auto& one : rules.limits) add("limit", one.name, shape.limits);
+    for (const auto& one : rules.tags) {
+        add("tag", one.name, tags);
+        shape.tags.emplace_back(one.name, rules::words_of(one.values));
+    }
+    return shape;
+}
+
 }   // namespace
 
 Telemetry::Telemetry(const operating::Options& options, const config::Config& config, std::string version,
@@ -46,8 +63,8 @@
         directory_.emplace(options_.metrics.directory);
         path = directory_->file("counters");
     }
-    measures_.emplace(metrics::Measures::Shape{config.settings.classes, config.settings.plans}, unix_ms(),
-                      path);
+    shape_ = shape_of(config, options_.rules);
+    measures_.emplace(shape_, unix_ms(), path);
     if (!measures_->cells().broken().empty())
         log_.write(Log::Level::error, started_,
                    "state: a broken file was put aside as %s; counters begin at 0",
@@ -130,6 +147,7 @@
     set(Id::descriptors_limit, g.descriptors_limit);
     set(Id::resident, resident_bytes());
     count_senders();
+    count_rules(g);
     std::vector<double> values;
     m.sample(values);
     push(std::move(values), false);
@@ -165,6 +183,44 @@
     m.set(Id::rw_last_success, driver_->last_success_unix_s());
 }
 
+// Rules that came with a reload under new names are counted after the next start.
+void Telemetry::count_rules(const ingress::Gauges& g) {
+    if (!g.rules) return;
+    auto& m = *measures_;
+    const auto moved = [&](Id id, std::size_t label, std::uint64_t now) {
+        std::uint64_t& seen = seen_[{id, label}];
+        if (now < seen) seen = 0;   // a limit that began anew
+        if (now != seen) m.add(id, label, static_cast<double>(now - std::exchange(seen, now)));
+    };
+    const auto place = [](const std::vector<std::string>& all, std::string_view name) {
+        return static_cast<std::size_t>(std::find(all.begin(), all.end(), name) - all.begin());
+    };
+    for (const rules::RuleCount& one : g.rules->counts()) {
+        const std::size_t at = place(shape_.rules, one.name);
+        if (at == shape_.rules.size()) continue;
+        moved(Id::rule_matches, at, one.matches);
+        moved(Id::rule_errors, at, one.errors);
+        const std::string own = one.name.substr(one.name.find(' ') + 1);
+        if (one.name.starts_with("route ")) moved(Id::route_spills, place(shape_.routes, own), one.spills);
+        if (one.name.starts_with("limit "))
+            moved(Id::limit_refusals, place(shape_.limits, own), one.refusals);
+    }
+    moved(Id::rule_cost, 0, g.rules->spent());
+    const rules::Settings& settings = g.rules->settings();
+    for (std::size_t i = 0; i < settings.limits.size(); ++i) {
+        const std::size_t at = place(shape_.limits, settings.limits[i].name);
+        if (at == shape_.limits.size()) continue;
+        const rules::Limiter& limiter = g.rules->limiter(i);
+        m.set(Id::limit_keys, static_cast<double>(limiter.keys()), at);
+        moved(Id::limit_forgotten, at, limiter.forgotten());
+        moved(Id::limit_passed, at, limiter.passed());
+    }
+    for (std::size_t i = 0; i < settings.subsets.size(); ++i)
+        if (const std::size_t at = place(shape_.subsets, settings.subsets[i].name);
+            at < shape_.subsets.size())
+            m.set(Id::subset_providers, static_cast<double>(g.fleet->ready(i)), at);
+}
+
 // Guards against a clock that steps back, and against a second sample in one millisecond: times of one
 // series only go up, also over a restart where there is a state directory.
 void Telemetry::push(std::vector<double> values, bool keep) {
@@ -202,6 +258,7 @@
         tick();
     }
     options_.log = options.log;
+    options_.rules = options.rules;
     log_.write(Log::Level::info, net::now(), "reloaded: the operator's file%s%s",
                later.empty() ? "" : "; after the next start: ", later.c_str());
 }
@@ -225,6 +282,7 @@
     finished.seconds = f.seconds;
     finished.units = i.units;
     const double worth = measures_->finished(finished);
+    for (const auto& [number, value] : f.tags) count_tag(number, value);
     if (!log_.wants_record(f.how == ingress::Finish::How::served)) return;
     RequestRecord record;
     record.id = i.request_id;
@@ -237,9 +295,26 @@
     record.attempts = f.attempts;
     record.seconds = f.seconds;
     record.worth = worth;
+    std::vector<std::pair<std::string_view, std::string_view>> tags;
+    for (const auto& [number, value] : f.tags)
+        if (number < options_.rules.tags.size()) tags.emplace_back(options_.rules.tags[number].name, value);
+    record.tags = tags;
     log_.record(record);
 }
 
+void Telemetry::count_tag(std::size_t number, std::string_view value) {
+    if (number >= options_.rules.tags.size()) return;
+    std::size_t label = 0;
+    for (const auto& [name, values] : shape_.tags) {
+        if (name != options_.rules.tags[number].name) {
+            label += values.size() + 1;
+            continue;
+        }
+        const auto at = std::find(values.begin(), values.end(), value) - values.begin();
+        return measures_->add(Id::tagged, label + static_cast<std::size_t>(at));
+    }
+}
+
 void Telemetry::on_attempt(slatejunction::Outcome outcome) {
     measures_->add(Id::attempts, static_cast<std::size_t>(outcome));
 }
--- a/src/telemetry/telemetry.hpp
+++ b/src/telemetry/telemetry.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -44,6 +45,8 @@
     void tick();
     void push(std::vector<double> values, bool keep);
     void count_senders();
+    void count_rules(const ingress::Gauges& gauges);
+    void count_tag(std::size_t number, std::string_view value);
     void lay_out();
 
     operating::Options options_;
@@ -58,6 +61,9 @@
     std::shared_ptr<const remotewrite::Layout> layout_;
     remotewrite::Tally tally_;   // as far as it has been counted
     std::uint64_t suppressed_ = 0, lost_ = 0;
+    // As far as the rules' own figures have been counted, by where they are counted to.
+    std::map<std::pair<metrics::Id, std::size_t>, std::uint64_t> seen_;
+    metrics::Measures::Shape shape_;
     std::function<ingress::Gauges()> gauges_;
     std::int64_t last_ms_ = 0;
     double started_ = 0, quota_report_at_ = 0;
