Show rules on a site of two subsets: drain, cold restart, spills, limits over a kill, reloads

Change: limits' states go to the state directory every 5 s (src/rules/keeper); stand-in providers have flavors, a cold pace, fall over and count what comes after a drain; the directory restarts them.

--- a/src/expr/cost.hpp
+++ b/src/expr/cost.hpp
@@ -35,7 +35,7 @@
 // Two texts beside each other.
 constexpr Units compare(Units a, Units b) { return sweep(std::min(a, b)); }
 // A search that is linear in both texts, whatever they hold.
-constexpr Units search(Units text, Units sought) { return plus(2, walk(text), walk(sought)); }
+constexpr Units search(Units text, Units sought) { return plus(2, text / 4, sought / 4); }
 // RE2 over a text: linear in it, at worst times a part of the pattern's program.
 constexpr Units match(Units text, Units program) {
     return plus(8, times(plus(text, 1), plus(2, program / 8)) / 4);
--- a/src/ingress/ingress.hpp
+++ b/src/ingress/ingress.hpp
@@ -34,6 +34,7 @@
     // What the operator's rules say from here on; null: there are none.
     void set_rules(std::unique_ptr<rules::Rules> rules);
     void on_rule_error(const std::string& rule, std::string_view why);   // what they were loaded with
+    rules::Rules* rules() const { return rules_.get(); }
     Gauges gauges() const;
 
   private:
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 #include <cstdio>
 #include <exception>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "config/config.hpp"
@@ -17,6 +18,7 @@
 #include "metrics/table.hpp"
 #include "operator/options.hpp"
 #include "rules/command.hpp"
+#include "rules/keeper.hpp"
 #include "telemetry/telemetry.hpp"
 
 namespace {
@@ -137,9 +139,11 @@
         telemetry =
             std::make_unique<sj::telemetry::Telemetry>(options, config, SLATEJUNCTION_VERSION, timers, log);
     const auto quit = [&loop] { g_main_loop_quit(loop.get()); };
+    std::unique_ptr<sj::rules::Keeper> keeper;
     sj::ingress::Ingress ingress(
         std::move(config), clock, timers, log,
         [&] {
+            if (keeper) keeper->stop();
             if (telemetry)
                 telemetry->stop(quit);
             else
@@ -150,6 +154,13 @@
         std::vector<std::string> faults;   // none: the file was checked as a whole
         ingress.set_rules(load_rules(options, ingress, name, faults));
     }
+    std::optional<sj::store::Directory> state;   // else telemetry's own
+    if (!options.rules.limits.empty() && !options.metrics.directory.empty()) {
+        if (!options.collects()) state.emplace(options.metrics.directory);
+        keeper = std::make_unique<sj::rules::Keeper>(
+            options.metrics.directory, [&ingress] { return ingress.rules(); }, timers, log);
+        keeper->start();
+    }
     Program program{signalfd(-1, &numbers, SFD_CLOEXEC | SFD_NONBLOCK),
                     ingress,
                     telemetry.get(),
--- /dev/null
+++ b/src/rules/keeper.cpp
@@ -0,0 +1,155 @@
+#include "rules/keeper.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cstring>
+#include <map>
+
+#include "net/stream.hpp"
+
+namespace slatejunction::rules {
+namespace {
+
+constexpr std::uint32_t kKeys = 1;                     // the type of record
+constexpr std::size_t kLeast = 2000, kMost = 20'000;   // places looked at in one tick: 48 to 480 KB
+constexpr std::size_t kSegment = 1U << 30;             // bytes; a round is one segment, whatever its size
+
+std::int64_t unix_ms() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+// What makes two limits the same one: a store that was kept for other figures would mean nothing.
+std::string definition(const LimitSettings& one) {
+    char figures[120];
+    std::snprintf(figures, sizeof figures, "\n%.17g\n%.17g\n%d\n", one.rate, one.burst, one.count);
+    return one.name + figures + one.key;
+}
+
+// A record: the bytes of the definition's size, the definition, Unix ms, then 24 bytes a key.
+struct Row {
+    KeyHash key;
+    double full_in_s;
+};
+static_assert(sizeof(Row) == 24);
+
+template <class T>
+void put(std::string& to, const T& value) {
+    to.append(reinterpret_cast<const char*>(&value), sizeof value);
+}
+template <class T>
+bool get(std::string_view& from, T& value) {
+    if (from.size() < sizeof value) return false;
+    std::memcpy(&value, from.data(), sizeof value);
+    from.remove_prefix(sizeof value);
+    return true;
+}
+
+}   // namespace
+
+Keeper::Keeper(const std::string& directory, std::function<Rules*()> rules, net::Timers& timers, Log& log)
+    : rules_(std::move(rules)), log_(log), timer_(timers, [this] { tick(); }) {
+    // By definition and key; later records go before earlier ones.
+    std::map<std::string, std::pair<std::int64_t, Limiter::Saved>> found;
+    const auto visit = [&](std::uint64_t, std::uint32_t type, std::string_view payload) {
+        std::uint32_t size = 0;
+        std::int64_t at_ms = 0;
+        if (type != kKeys || !get(payload, size) || payload.size() < size) return;
+        const std::string name(payload.substr(0, size));
+        payload.remove_prefix(size);
+        if (!get(payload, at_ms)) return;
+        for (Row row{}; get(payload, row);) {
+            std::string place = name + '\0';
+            put(place, row.key);
+            found[place] = {at_ms, {row.key, row.full_in_s}};
+        }
+    };
+    store::Journal::Found state;
+    journal_ = std::make_unique<store::Journal>(directory, "limits", kSegment, visit, state);
+    const double now = net::now();
+    for (const std::string& path : state.broken)
+        log_.write(Log::Level::error, now, "limits: a broken file was put aside as %s", path.c_str());
+    for (const auto& [number, size] : journal_->segments()) older_.push_back(number);
+    restore(found, unix_ms());
+}
+
+void Keeper::restore(const std::map<std::string, std::pair<std::int64_t, Limiter::Saved>>& found,
+                     std::int64_t now_ms) {
+    Rules* const rules = rules_();
+    if (!rules) return;
+    const double now = net::now();
+    std::size_t restored = 0;
+    const auto& limits = rules->settings().limits;
+    for (std::size_t i = 0; i < limits.size(); ++i) {
+        const std::string from = definition(limits[i]) + '\0';
+        for (auto at = found.lower_bound(from); at != found.end() && at->first.starts_with(from); ++at) {
+            auto [at_ms, saved] = at->second;
+            // A clock that has stepped back makes no store fuller.
+            saved.full_in_s -= static_cast<double>(std::max<std::int64_t>(0, now_ms - at_ms)) / 1e3;
+            if (saved.full_in_s <= 0) continue;
+            rules->limiter(i).restore(now, saved);
+            ++restored;
+        }
+    }
+    if (restored > 0)
+        log_.write(Log::Level::info, now, "limits: the states of %zu keys of an earlier process go on",
+                   restored);
+}
+
+void Keeper::start() { timer_.arm(net::now() + kTick); }
+
+bool Keeper::begin_round() {
+    limit_ = slot_ = 0;
+    round_began_ = net::now();
+    for (const auto& [number, size] : journal_->segments())
+        if (std::find(older_.begin(), older_.end(), number) == older_.end()) older_.push_back(number);
+    return writing_ = journal_->begin();
+}
+
+// A part of the round. Once it is whole the rounds before it go.
+bool Keeper::step() {
+    Rules* const rules = rules_();
+    const std::size_t count = rules ? rules->settings().limits.size() : 0;
+    if (limit_ >= count) {
+        for (const std::uint64_t number : older_) journal_->drop(number);
+        older_.clear();
+        return writing_ = false;
+    }
+    std::string record;
+    const std::string name = definition(rules->settings().limits[limit_]);
+    put(record, static_cast<std::uint32_t>(name.size()));
+    record += name;
+    put(record, unix_ms());
+    const Limiter& limiter = rules->limiter(limit_);
+    const auto ticks = static_cast<std::size_t>(kEvery / kTick);
+    const std::size_t places = std::clamp(limiter.limits().keys_max / ticks, kLeast, kMost);
+    for (const Limiter::Saved& one : limiter.save(net::now(), slot_, places))
+        put(record, Row{one.key, one.full_in_s});
+    if (slot_ == 0) ++limit_;
+    if (!journal_->append(kKeys, record)) return writing_ = false;
+    return true;
+}
+
+void Keeper::tick() {
+    const double now = net::now();
+    timer_.arm(now + kTick);
+    if (!writing_ && now - round_began_ >= kEvery && !begin_round()) {
+        if (!std::exchange(failing_, true))
+            log_.write(Log::Level::error, now, "limits: the state directory can't be written: %s",
+                       journal_->why().c_str());
+        return;
+    }
+    if (!writing_) return;
+    failing_ = false;
+    step();
+}
+
+void Keeper::stop() {
+    timer_.disarm();
+    if (begin_round())
+        while (step()) {
+        }
+}
+
+}   // namespace slatejunction::rules
--- a/src/rules/limiter.cpp
+++ b/src/rules/limiter.cpp
@@ -149,7 +149,7 @@
 
 std::vector<Limiter::Saved> Limiter::save(double now, std::size_t& from, std::size_t most) const {
     std::vector<Saved> all;
-    for (; from < slots_.size() && all.size() < most; ++from) {
+    for (const std::size_t end = std::min(slots_.size(), from + most); from < end; ++from) {
         const Slot& one = slots_[from];
         if (one.used && one.full_at > now) all.push_back({one.key, one.full_at - now});
     }
--- a/src/rules/limiter.hpp
+++ b/src/rules/limiter.hpp
@@ -59,8 +59,8 @@
         KeyHash key;
         double full_in_s = 0;
     };
-    // The states of up to `most` keys from slot `from` on; `from` moves to where the next call goes on, 0
-    // at the end.
+    // The states of keys in `most` places from `from` on; that moves to where the next call goes on, 0 at
+    // the end.
     std::vector<Saved> save(double now, std::size_t& from, std::size_t most) const;
     void restore(double now, const Saved& saved);
 
--- a/standins/directory.cpp
+++ b/standins/directory.cpp
@@ -4,6 +4,7 @@
 #include <rapidjson/writer.h>
 
 #include <algorithm>
+#include <chrono>
 #include <cstdlib>
 
 namespace standin {
@@ -26,11 +27,11 @@
         json.Key("id"), json.String(one.id.c_str());
         json.Key("host_port"), json.String(one.host_port.c_str());
         json.Key("locality"), json.String("a");
-        json.Key("flavor"), json.String("stand-in");
+        json.Key("flavor"), json.String(one.flavor.c_str());
         json.Key("cell"), json.Int(1);
         json.Key("phase"), json.String(one.phase.c_str());
         json.Key("size"), json.Double(1);
-        json.Key("up_since_ms"), json.Int(0);
+        json.Key("up_since_ms"), json.Int64(one.up_since_ms);
         json.EndObject();
     }
     json.EndArray();
@@ -54,6 +55,15 @@
     return true;
 }
 
+bool Directory::restart(const std::string& id) {
+    for (Member& one : members_)
+        if (one.id == id)
+            one.up_since_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                                  std::chrono::system_clock::now().time_since_epoch())
+                                  .count();
+    return set(id, "Ready");
+}
+
 void Directory::on_request(const std::shared_ptr<Client>& client, Request& request) {
     ++asked_;
     const std::size_t index = request.target.find("index=");
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -86,7 +86,11 @@
     std::string why;
     if (!provider.start(why)) return Stage::fail(settings.listen + ": " + why);
     return stage.run([&] { return provider.summary(); },
-                     [](const std::string&) { return "no such order"; });
+                     [&](const std::string& path) -> std::string {
+                         if (path == "/drain") return provider.drain(), "";
+                         if (path == "/restart") return provider.restart(), "";
+                         return "no such order";
+                     });
 }
 
 int run_directory(const Common& common, const std::string& listen,
@@ -95,7 +99,9 @@
     for (const std::string& one : members) {
         const std::size_t mark = one.find('=');
         if (mark == std::string::npos) return Stage::fail("'" + one + "' is not ID=ADDRESS:PORT");
-        all.push_back({one.substr(0, mark), one.substr(mark + 1)});
+        const std::size_t comma = std::min(one.find(',', mark), one.size());
+        all.push_back({one.substr(0, mark), one.substr(mark + 1, comma - mark - 1)});
+        if (comma < one.size()) all.back().flavor = one.substr(comma + 1);
     }
     Stage stage(common);
     standin::Directory directory(stage.timers(), listen, all);
@@ -103,7 +109,9 @@
     if (!directory.start(why)) return Stage::fail(listen + ": " + why);
     return stage.run(
         [&] { return directory.summary(); },
-        [&](const std::string& path) -> std::string {   // /phase/ID/PHASE
+        [&](const std::string& path) -> std::string {   // /phase/ID/PHASE, /restart/ID
+            if (const std::string id = words_of(path, "/restart/"); !id.empty())
+                return directory.restart(id) ? "" : "no such provider";
             const std::string words = words_of(path, "/phase/");
             const std::size_t mark = words.find(' ');
             if (mark == std::string::npos) return "no such order";
@@ -223,7 +231,8 @@
     };
 
     standin::ProviderSettings provider;
-    auto* providing = app.add_subcommand("provider", "a provider with cores, a queue and service times");
+    auto* providing = app.add_subcommand(
+        "provider", "a provider with cores, a queue and service times; orders: POST /drain, POST /restart");
     shared(providing);
     providing->add_option("--listen", provider.listen, "ADDRESS:PORT")->required();
     providing->add_option("--id", provider.id, "its name in answers")->capture_default_str();
@@ -235,14 +244,24 @@
     providing->add_option("--queue", provider.queue, "requests that may wait")->capture_default_str();
     providing->add_option("--used", provider.used, "percent of its quota that each customer has used")
         ->capture_default_str();
+    providing->add_option("--cold-from", provider.cold_from, "part of its pace after a restart")
+        ->capture_default_str();
+    providing->add_option("--warm-s", provider.warm_s, "until its pace is whole again")
+        ->capture_default_str();
+    providing
+        ->add_option("--fall-multiple", provider.fall_multiple,
+                     "times its pace that make it fall over; 0: never")
+        ->capture_default_str();
+    providing->add_option("--fall-s", provider.fall_s, "over so long")->capture_default_str();
     providing->add_option("--seed", provider.seed, "of the service times")->capture_default_str();
 
     std::string listen;
     std::vector<std::string> members;
-    auto* directing = app.add_subcommand("directory", "the list of providers; order: POST /phase/ID/PHASE");
+    auto* directing = app.add_subcommand(
+        "directory", "the list of providers; orders: POST /phase/ID/PHASE, POST /restart/ID");
     shared(directing);
     directing->add_option("--listen", listen, "ADDRESS:PORT")->required();
-    directing->add_option("--member", members, "ID=ADDRESS:PORT, once for each provider");
+    directing->add_option("--member", members, "ID=ADDRESS:PORT[,FLAVOR], once for each provider");
 
     bool v1_only = false;
     std::vector<std::string> script;
--- a/standins/provider.hpp
+++ b/standins/provider.hpp
@@ -2,8 +2,10 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "server.hpp"
@@ -18,6 +20,9 @@
     std::size_t queue = 200;              // that wait; more are turned away
     double used = 0;                      // percent of its quota that every customer has used; 0: not told
     std::uint64_t seed = 1;
+    // After a restart it has that part of its pace, and all of it once it is warm. Work that comes at more
+    // than fall_multiple times its pace over fall_s makes it fall over: it answers nothing more.
+    double cold_from = 0.2, warm_s = 10, fall_multiple = 0, fall_s = 2;
 };
 
 class Provider {
@@ -25,13 +30,20 @@
     Provider(slatejunction::net::Timers& timers, const ProviderSettings& settings);
     bool start(std::string& why) { return server_.start(settings_.listen, why); }
     std::string summary() const;
+    void drain();     // it has been taken off the list: what comes later than it may is counted
+    void restart();   // it is cold
 
   private:
+    double pace(double now) const;
+    bool falls(double now, double work);
     void on_request(const std::shared_ptr<Client>& client, Request& request);
     const ProviderSettings settings_;
     Server server_;
     std::vector<double> free_at_;   // of each core
     std::size_t open_ = 0, served_ = 0, turned_away_ = 0, most_open_ = 0;
+    std::size_t reads_ = 0, writes_ = 0, late_ = 0, falls_ = 0;
+    double drained_at_ = 0, restarted_at_ = -1e18;   // drained_at_ 0: it is not
+    std::deque<std::pair<double, double>> came_;     // when, and how much work, over fall_s
     std::mt19937_64 random_;
 };
 
