Cut what rules and reports cost a request: decided conditions, ASCII texts, fields by place

Cause: a check of every text byte by byte, a map of names for three report fields, conditions run though class and plan had decided them. Change: texts are looked at eight bytes at a time, report fields are places, conditions that ask nothing but class and plan are not run.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -384,8 +384,11 @@
     void configure(const Settings* settings, std::size_t kinds) {
         settings_ = settings;
         full_.assign(kinds, 0);
-        for (std::size_t i = 0; i < settings->report_fields.size(); ++i)
-            fields_[settings->report_fields[i]] = i;
+        const auto& names = settings->report_fields;
+        const auto place = [&](const char* name) {
+            return static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
+        };
+        rif_ = place("rif"), busy_ = place("busy"), q_ = place("q");
     }
 
     // Returns how much of the fleet changed.
@@ -515,15 +518,14 @@
 
     // What a server holds for others: told outright, or waiting, or served by Little's law, or by how busy.
     void report(Server& s, const std::vector<double>& values, double now) {
-        const auto told = [&](const char* name) {
-            const auto at = fields_.find(name);
-            if (at == fields_.end() || at->second >= values.size()) return -1.0;
-            return std::isfinite(values[at->second]) ? sane(values[at->second]) : -1.0;   // NaN: absent
+        const auto told = [&](std::size_t at) {
+            return at < values.size() && std::isfinite(values[at]) ? sane(values[at])
+                                                                   : -1.0;   // NaN: absent
         };
-        double held = told("rif");
-        if (held < 0 && told("busy") >= 0)
-            held = std::min(1.0, told("busy")) / std::max(0.05, 1 - told("busy"));
-        if (told("q") >= 0) held = std::max(held, 0.0) + (told("rif") < 0 ? told("q") : 0.0);
+        const double rif = told(rif_), busy = told(busy_), q = told(q_);
+        double held = rif;
+        if (held < 0 && busy >= 0) held = std::min(1.0, busy) / std::max(0.05, 1 - busy);
+        if (q >= 0) held = std::max(held, 0.0) + (rif < 0 ? q : 0.0);
         if (held < 0) return;
         s.held = std::max(0.0, held - s.open);
         s.held_at = now;
@@ -620,7 +622,7 @@
     std::vector<Part> parts_{1};
     std::array<Server*, 4> recent_{};
     std::size_t recent_at_ = 0;
-    std::map<std::string, std::size_t> fields_;
+    std::size_t rif_ = 0, busy_ = 0, q_ = 0;   // their places in a report
     const Settings* settings_ = nullptr;
     double mean_ = 0.1;
     double held_ = 0;   // by others, for each unit of weight
--- a/src/consumer/session.cpp
+++ b/src/consumer/session.cpp
@@ -99,10 +99,9 @@
     }
     invocation->body = parser_.body();
     const std::size_t used = parser_.used();
-    std::vector<http::Field> headers;
     if (host_.wants_headers()) {
-        headers.assign(head.fields.begin(), head.fields.begin() + static_cast<std::ptrdiff_t>(head.count));
-        invocation->headers = headers;
+        headers_.assign(head.fields.begin(), head.fields.begin() + static_cast<std::ptrdiff_t>(head.count));
+        invocation->headers = headers_;
     }
     parser_.reset();
     // The invocation keeps the bytes that its views point into; what lies behind it moves on.
--- a/src/consumer/session.hpp
+++ b/src/consumer/session.hpp
@@ -1,6 +1,8 @@
 // The server side of one consumer connection: a state machine fed bytes.
 #pragma once
 
+#include <vector>
+
 #include "consumer/invocation.hpp"
 #include "net/stream.hpp"
 
@@ -52,6 +54,7 @@
     void reject(int status, std::string_view why);
     void finish_answer();
 
+    std::vector<http::Field> headers_;   // of the request that is handed on
     SessionHost& host_;
     net::Transport* transport_ = nullptr;
     http::Parser parser_;
--- a/src/expr/value.cpp
+++ b/src/expr/value.cpp
@@ -41,8 +41,20 @@
     return kNames[static_cast<std::size_t>(kind)];
 }
 
+// Nearly all texts are ASCII: eight bytes at a time.
+bool ascii(std::string_view text) {
+    std::uint64_t high = 0;
+    std::size_t at = 0;
+    for (std::uint64_t eight; at + sizeof eight <= text.size(); at += sizeof eight) {
+        std::memcpy(&eight, text.data() + at, sizeof eight);
+        high |= eight;
+    }
+    for (; at < text.size(); ++at) high |= static_cast<unsigned char>(text[at]);
+    return (high & 0x8080808080808080) == 0;
+}
+
 bool valid_utf8(std::string_view text) {
-    return g_utf8_validate_len(text.data(), text.size(), nullptr) != FALSE;
+    return ascii(text) || g_utf8_validate_len(text.data(), text.size(), nullptr) != FALSE;
 }
 
 namespace {
--- a/src/expr/value.hpp
+++ b/src/expr/value.hpp
@@ -180,6 +180,7 @@
 };
 
 std::string_view kind_name(Kind kind);   // as CEL names the type
+bool ascii(std::string_view text);
 bool valid_utf8(std::string_view text);
 std::size_t code_points(std::string_view utf8);
 // The byte at which the code point of that number begins; the size of the text beyond its end.
--- a/src/rules/matcher.cpp
+++ b/src/rules/matcher.cpp
@@ -27,6 +27,7 @@
     const Node& root = tree[tree.root];
     if (root.kind == Node::Kind::call && !root.member && root.name == "_&&_") parts = root.kids;
     Demand demand;
+    std::size_t read = 0;   // parts that are wholly in the demand
     for (const NodeId id : parts) {
         const Node& part = tree[id];
         if (part.kind != Node::Kind::call || part.kids.size() != 2) continue;
@@ -40,7 +41,7 @@
                                                             : nullptr;
         if (literal.kind == Node::Kind::text) {
             const bool same = part.name == "_==_" && !part.member;
-            if (words && same && words->empty()) *words = {literal.name};
+            if (words && same && words->empty()) *words = {literal.name}, ++read;
             const bool begins = part.member && part.name == "startsWith";
             if (field == "path" && (same || begins) && literal.name.size() > demand.path.size())
                 demand.path = literal.name;
@@ -48,9 +49,12 @@
             std::vector<std::string> all;
             for (const NodeId item : literal.kids)
                 if (tree[item].kind == Node::Kind::text) all.push_back(tree[item].name);
-            if (all.size() == literal.kids.size()) *words = std::move(all);
+            if (all.size() != literal.kids.size() || all.empty()) continue;
+            *words = std::move(all);
+            ++read;
         }
     }
+    demand.whole = read == parts.size();
     return demand;
 }
 
--- a/src/rules/matcher.hpp
+++ b/src/rules/matcher.hpp
@@ -24,12 +24,14 @@
     // Numbers of the conditions that can hold, in their order. Valid until the next call.
     const std::vector<std::uint32_t>& candidates(std::string_view service_class, std::string_view plan,
                                                  std::string_view path);
-    std::size_t size() const { return demands_.size(); }
+    // Whether that one holds for each request that it is a candidate for: all of it was looked at here.
+    bool decided(std::uint32_t number) const { return demands_[number].whole; }
 
   private:
     struct Demand {
         std::vector<std::string> classes, plans;   // one of these; empty: any
         std::string path;                          // begins with; empty: any
+        bool whole = false;                        // nothing else is asked, and nothing of the path
     };
     struct TextHash {
         using is_transparent = void;
--- a/src/rules/rules.cpp
+++ b/src/rules/rules.cpp
@@ -169,8 +169,8 @@
     return outcome.value;
 }
 
-bool Rules::holds(const expr::Program& program, std::size_t rule) {
-    const Value held = value(program, rule);
+bool Rules::holds(const expr::Program& program, std::size_t rule, bool known) {
+    const Value held = known ? Value::boolean(true) : value(program, rule);
     const bool yes = held.is(expr::Kind::boolean) && held.truth();
     counts_[rule].matches += yes;
     return yes;
@@ -183,7 +183,7 @@
     for (const std::uint32_t number :
          route_matcher_.candidates(request.service_class, request.plan, request.path)) {
         const Route& route = routes_[number];
-        if (!holds(route.when, route_rule(route.place))) continue;
+        if (!holds(route.when, route_rule(route.place), route_matcher_.decided(number))) continue;
         verdict.route = route.place;
         verdict.subset = route.subset;
         verdict.spill = route.spill;
@@ -199,10 +199,7 @@
          limit_matcher_.candidates(request.service_class, request.plan, request.path)) {
         Limit& limit = limits_[number];
         const std::size_t rule = limit_rule(number);
-        if (limit.always)
-            ++counts_[rule].matches;
-        else if (!holds(limit.when, rule))
-            continue;
+        if (!holds(limit.when, rule, limit.always || limit_matcher_.decided(number))) continue;
         const Value key = value(limit.key, rule);
         if (key.is_error()) continue;
         key_.clear();
@@ -222,10 +219,7 @@
          tag_matcher_.candidates(request.service_class, request.plan, request.path)) {
         const Tag& tag = tags_[number];
         const std::size_t rule = tag_rule(number);
-        if (tag.always)
-            ++counts_[rule].matches;
-        else if (!holds(tag.when, rule))
-            continue;
+        if (!holds(tag.when, rule, tag.always || tag_matcher_.decided(number))) continue;
         const Value text = value(tag.value, rule);
         if (text.is(expr::Kind::text)) verdict.tags.emplace_back(number, text.view());
     }
--- a/src/rules/rules.hpp
+++ b/src/rules/rules.hpp
@@ -95,7 +95,7 @@
     };
     Rules(const Settings& settings, const GatewayFacts& gateway, ErrorHost on_error);
     bool compile_all(std::vector<std::string>& faults);
-    bool holds(const expr::Program& program, std::size_t rule);
+    bool holds(const expr::Program& program, std::size_t rule, bool known = false);   // known: it does
     expr::Value value(const expr::Program& program, std::size_t rule);
     void error(std::size_t rule, std::string_view why);
     void find_limits(double now, const RequestFacts& request, Verdict& verdict);
--- a/src/rules/variables.cpp
+++ b/src/rules/variables.cpp
@@ -1,6 +1,7 @@
 #include "rules/variables.hpp"
 
 #include <algorithm>
+#include <cstring>
 
 namespace slatejunction::rules {
 
@@ -29,6 +30,23 @@
     return bound;
 }
 
+// Eight letters at a time: a byte's high bit is set where it is from 'A' to 'Z', and a quarter of that is
+// the difference of the cases. Bytes over 127 stay.
+std::string_view lower_case(std::string_view name, expr::Arena& arena) {
+    constexpr std::uint64_t kOnes = 0x0101010101010101, kHigh = 0x80 * kOnes;
+    char* const to = arena.chars(name.size() + 8);
+    for (std::size_t at = 0; at < name.size(); at += 8) {
+        std::uint64_t eight = 0;
+        std::memcpy(&eight, name.data() + at, std::min<std::size_t>(8, name.size() - at));
+        const std::uint64_t low = eight & ~kHigh;
+        const std::uint64_t from_a = low + (0x80 - 'A') * kOnes, past_z = low + (0x7f - 'Z') * kOnes;
+        const std::uint64_t upper = from_a & ~past_z & ~eight & kHigh;
+        eight += upper >> 2;
+        std::memcpy(to + at, &eight, 8);
+    }
+    return {to, name.size()};
+}
+
 }   // namespace
 
 expr::Environment environment(Scope scope, HeadBounds bounds) {
@@ -95,10 +113,7 @@
     const std::span<expr::Pair> pairs = arena.array<expr::Pair>(fields.size());
     std::size_t count = 0;
     for (const http::Field& field : fields) {
-        char* name = arena.chars(field.name.size());
-        std::transform(field.name.begin(), field.name.end(), name,
-                       [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c; });
-        const std::string_view lower(name, field.name.size());
+        const std::string_view lower = lower_case(field.name, arena);
         const auto end = pairs.begin() + static_cast<std::ptrdiff_t>(count);
         const auto same = std::find_if(pairs.begin(), end,
                                        [&](const expr::Pair& one) { return one.key.view() == lower; });
