--- a/tests/ini/ini_test.cpp
+++ b/tests/ini/ini_test.cpp
@@ -67,7 +67,8 @@
     CHECK(load(folder, "[state]\ndirectory = /a\n[remote_write]\nbacklog_directory = /a\n", options) ==
           Faults{"[remote_write] backlog_directory: is [state] directory too; each has its own"});
     CHECK(load(folder, "no section\n", options).size() == 1);
-    CHECK(load(folder, "[log]\nformat = json\n level = info\n", options) == Faults{"[log] format: does not go over several lines"});
+    CHECK(load(folder, "[log]\nformat = json\n level = info\n", options) ==
+          Faults{"[log] format: does not go over several lines"});
     CHECK(load(folder, "# " + std::string(200, 'x') + "\n", options) == Faults{"line 1: over 190 bytes"});
     CHECK(slatejunction::operating::load(folder.file("absent"), options).size() == 1);
     CHECK(options.log.format == 0);
