Remove cost constants and a sum that nothing used

Need: a second reading of the change found three constants of the cost formulas and Rules::bound without a user. Change: they are gone; behaviour stays.

--- a/src/expr/cost.hpp
+++ b/src/expr/cost.hpp
@@ -23,11 +23,9 @@
     return plus(plus(a, b), more...);
 }
 
-inline constexpr Units kStep = 1;       // one instruction
-inline constexpr Units kTime = 12;      // reading or writing a time, a calendar's field
-inline constexpr Units kDigits = 8;     // a number's text
-inline constexpr Units kAddress = 12;   // an address's text
-inline constexpr std::uint64_t kNumberText = 32, kTimeText = 40, kAddressText = 46;   // bytes, the longest
+inline constexpr Units kStep = 1;    // one instruction
+inline constexpr Units kTime = 12;   // reading or writing a time, a calendar's field
+inline constexpr std::uint64_t kTimeText = 40, kAddressText = 46;   // bytes, the longest
 
 // Bytes looked at or copied at the machine's best pace, and one by one.
 constexpr Units sweep(Units bytes) { return bytes / 32; }
--- a/src/rules/rules.cpp
+++ b/src/rules/rules.cpp
@@ -151,14 +151,6 @@
     spent_ = other.spent_;
 }
 
-expr::cost::Units Rules::bound() const {
-    expr::cost::Units all = 0;
-    for (const Route& one : routes_) all = expr::cost::plus(all, one.when.bound);
-    for (const Limit& one : limits_) all = expr::cost::plus(all, one.when.bound, one.key.bound);
-    for (const Tag& one : tags_) all = expr::cost::plus(all, one.when.bound, one.value.bound);
-    return all;
-}
-
 void Rules::error(std::size_t rule, std::string_view why) {
     ++counts_[rule].errors;
     if (on_error_) on_error_(counts_[rule].name, why);
--- a/src/rules/rules.hpp
+++ b/src/rules/rules.hpp
@@ -76,7 +76,6 @@
     const Limiter& limiter(std::size_t limit) const { return *limits_[limit].limiter; }
     Limiter& limiter(std::size_t limit) { return *limits_[limit].limiter; }
     std::uint64_t spent() const { return spent_; }   // units of cost
-    expr::cost::Units bound() const;                 // the most that one request can cost
 
   private:
     struct Limit {
