--- a/src/consumer/session.cpp
+++ b/src/consumer/session.cpp
@@ -99,10 +99,8 @@
     }
     invocation->body = parser_.body();
     const std::size_t used = parser_.used();
-    if (host_.wants_headers()) {
-        headers_.assign(head.fields.begin(), head.fields.begin() + static_cast<std::ptrdiff_t>(head.count));
-        invocation->headers = headers_;
-    }
+    // The parser's own fields, which it writes again only when it reads the next head.
+    if (host_.wants_headers()) invocation->headers = std::span(head.fields).first(head.count);
     parser_.reset();
     // The invocation keeps the bytes that its views point into; what lies behind it moves on.
     const std::string_view rest = buffer_.view().substr(used);
--- a/src/consumer/session.hpp
+++ b/src/consumer/session.hpp
@@ -54,7 +54,6 @@
     void reject(int status, std::string_view why);
     void finish_answer();
 
-    std::vector<http::Field> headers_;   // of the request that is handed on
     SessionHost& host_;
     net::Transport* transport_ = nullptr;
     http::Parser parser_;
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -22,7 +22,8 @@
 constexpr double kStillComing = 0.6;      // s after the stop in which idle connections are kept
 constexpr double kQuiet = 0.15;           // s without use before one ends after that
 constexpr double kRuleErrorEvery = 1.0;   // s; between log lines of errors of rules
-constexpr double kNearDue = 0.05;         // s; an abort so near to the due time is a time-out
+constexpr std::size_t kSpareVerdicts = 256;
+constexpr double kNearDue = 0.05;   // s; an abort so near to the due time is a time-out
 
 provider::PoolLimits limits_of(const config::Config& config) {
     return {(config.sockets - kReserve) * 2 / 5, config.dial_timeout_s, config.keepalive_s};
@@ -368,7 +369,7 @@
 }
 
 void Ingress::on_rule_error(const std::string& rule, std::string_view why) {
-    const double now = net::now();
+    const double now = judged_at_ > 0 ? judged_at_ : net::now();
     if (now - rule_told_ < kRuleErrorEvery) return;
     rule_told_ = now;
     log_.write(Log::Level::warning, now, "rules: [%s] ends in an error and does not match: %.*s",
@@ -387,10 +388,18 @@
     facts.id = i.request_id;
     facts.headers = i.headers;
     facts.customer = static_cast<std::int64_t>(i.customer);
-    facts.deadline_ms = std::llround((i.due - i.arrived) * 1e3);
+    facts.deadline_ms = static_cast<std::int64_t>((i.due - i.arrived) * 1e3 + 0.5);   // over 0
     facts.units = i.units;
     facts.retry = i.repeat;
-    open.verdict = std::make_unique<rules::Verdict>(rules_->judge(net::now(), facts));
+    if (spare_verdicts_.empty()) {
+        open.verdict = std::make_unique<rules::Verdict>();
+    } else {
+        open.verdict = std::move(spare_verdicts_.back());
+        spare_verdicts_.pop_back();
+    }
+    judged_at_ = i.arrived;   // just now
+    rules_->judge(judged_at_, facts, *open.verdict);
+    judged_at_ = 0;
     open.invocation->headers = {};
     open.rules = rules_number_;
     request.subset = open.verdict->subset;
@@ -427,7 +436,11 @@
 void Ingress::forget_if_over(std::uint64_t number) {
     const auto at = open_.find(number);
     if (at == open_.end() || at->second.consumer || at->second.out > 0) return;
-    if (at->second.verdict) rules::Rules::ended(net::now(), *at->second.verdict);
+    if (at->second.verdict) {
+        rules::Rules::ended(net::now(), *at->second.verdict);
+        if (spare_verdicts_.size() < kSpareVerdicts)
+            spare_verdicts_.push_back(std::move(at->second.verdict));
+    }
     ids_.erase(at->second.invocation->request_id);
     open_.erase(at);
 }
--- a/src/ingress/ingress.hpp
+++ b/src/ingress/ingress.hpp
@@ -113,8 +113,10 @@
     consumer::Server server_;
     std::shared_ptr<WatchLink> watch_;
     std::unique_ptr<rules::Rules> rules_;
+    std::vector<std::unique_ptr<rules::Verdict>> spare_verdicts_;   // their memory, for the next requests
     rules::Fleet fleet_;
     std::uint64_t rules_number_ = 0;   // of the rules in force
+    double judged_at_ = 0;             // the time, while rules judge a request; else 0
     double rule_told_ = -1e18;         // when an error of one was last logged
     bool stopping_ = false;
     double stopped_at_ = 0;
--- a/src/rules/matcher.cpp
+++ b/src/rules/matcher.cpp
@@ -9,6 +9,8 @@
 using expr::NodeId;
 using expr::Tree;
 
+constexpr std::size_t kFewPaths = 4;   // beginnings of paths, that are tried one by one
+
 // "class" of request.class; empty for anything else.
 std::string field_of(const Tree& tree, NodeId id) {
     const Node& node = tree[id];
@@ -25,7 +27,6 @@
     const Node& root = tree[tree.root];
     if (root.kind == Node::Kind::call && !root.member && root.name == "_&&_") parts = root.kids;
     Demand demand;
-    std::size_t read = 0;   // parts that are wholly in the demand
     for (const NodeId id : parts) {
         const Node& part = tree[id];
         if (part.kind != Node::Kind::call || part.kids.size() != 2) continue;
@@ -39,7 +40,7 @@
                                                             : nullptr;
         if (literal.kind == Node::Kind::text) {
             const bool same = part.name == "_==_" && !part.member;
-            if (words && same && words->empty()) *words = {literal.name}, ++read;
+            if (words && same && words->empty()) *words = {literal.name}, demand.known.push_back(id);
             const bool begins = part.member && part.name == "startsWith";
             if (field == "path" && (same || begins) && literal.name.size() > demand.path.size())
                 demand.path = literal.name;
@@ -49,10 +50,9 @@
                 if (tree[item].kind == Node::Kind::text) all.push_back(tree[item].name);
             if (all.size() != literal.kids.size() || all.empty()) continue;
             *words = std::move(all);
-            ++read;
+            demand.known.push_back(id);
         }
     }
-    demand.whole = read == parts.size();
     return demand;
 }
 
@@ -60,8 +60,7 @@
     for (const expr::Program* one : conditions) demands_.push_back(one ? demand_of(*one) : Demand());
 }
 
-Matcher::Group Matcher::group_of(std::string_view service_class, std::string_view plan) const {
-    Group group;
+void Matcher::fill(Group& group, std::string_view service_class, std::string_view plan) const {
     const auto has = [](const std::vector<std::string>& words, std::string_view word) {
         return words.empty() || std::find(words.begin(), words.end(), word) != words.end();
     };
@@ -78,25 +77,37 @@
     }
     std::sort(group.lengths.begin(), group.lengths.end());
     group.lengths.erase(std::unique(group.lengths.begin(), group.lengths.end()), group.lengths.end());
-    return group;
+    if (group.paths.size() > kFewPaths) return;
+    for (const auto& [path, numbers] : group.paths) group.few.emplace_back(path, &numbers);
 }
 
-const std::vector<std::uint32_t>& Matcher::candidates(std::size_t pair, std::string_view service_class,
-                                                      std::string_view plan, std::string_view path) {
+const std::vector<std::uint32_t>& Matcher::by_path(std::size_t pair, std::string_view service_class,
+                                                   std::string_view plan, std::string_view path) {
     if (pair >= groups_.size()) groups_.resize(pair + 1);
-    if (!groups_[pair]) groups_[pair] = std::make_unique<Group>(group_of(service_class, plan));
+    if (!groups_[pair]) {
+        groups_[pair] = std::make_unique<Group>();
+        fill(*groups_[pair], service_class, plan);
+    }
     const Group& group = *groups_[pair];
-    if (group.lengths.empty()) return group.any;
-    found_ = group.any;
-    for (const std::size_t length : group.lengths) {
-        if (length > path.size()) break;
-        const auto some = group.paths.find(path.substr(0, length));
-        if (some == group.paths.end()) continue;
+    const std::vector<std::uint32_t>* found = &group.any;
+    const auto add = [&](const std::vector<std::uint32_t>& some) {
+        if (found != &found_) found_ = group.any;
+        found = &found_;
         const auto middle = static_cast<std::ptrdiff_t>(found_.size());
-        found_.insert(found_.end(), some->second.begin(), some->second.end());
+        found_.insert(found_.end(), some.begin(), some.end());
         std::inplace_merge(found_.begin(), found_.begin() + middle, found_.end());
+    };
+    if (!group.few.empty()) {
+        for (const auto& [beginning, numbers] : group.few)
+            if (path.starts_with(beginning)) add(*numbers);
+        return *found;
+    }
+    for (const std::size_t length : group.lengths) {
+        if (length > path.size()) break;
+        if (const auto some = group.paths.find(path.substr(0, length)); some != group.paths.end())
+            add(some->second);
     }
-    return found_;
+    return *found;
 }
 
 }   // namespace slatejunction::rules
--- a/src/rules/matcher.hpp
+++ b/src/rules/matcher.hpp
@@ -24,21 +24,24 @@
     // holds. Only read here.
     explicit Matcher(const std::vector<const expr::Program*>& conditions);
 
-    // // Numbers of the conditions that can hold, in their order. Valid until the
+    // Numbers of the conditions that can hold, in their order. Valid until the
     // next call. `pair` stands for the class and plan, the same in each call
     // until forget().
     const std::vector<std::uint32_t>& candidates(std::size_t pair, std::string_view service_class,
-                                                 std::string_view plan, std::string_view path);
+                                                 std::string_view plan, std::string_view path) {
+        if (pair < groups_.size() && groups_[pair] && groups_[pair]->lengths.empty())
+            return groups_[pair]->any;
+        return by_path(pair, service_class, plan, path);
+    }
     void forget() { groups_.clear(); }
-    // Whether that one holds for each request that it is a candidate for: all of
-    // it was looked at here.
-    bool decided(std::uint32_t number) const { return demands_[number].whole; }
+    // The parts of that condition that hold for each request that it is a candidate for.
+    const std::vector<expr::NodeId>& known(std::uint32_t number) const { return demands_[number].known; }
 
   private:
     struct Demand {
         std::vector<std::string> classes, plans;   // one of these; empty: any
         std::string path;                          // begins with; empty: any
-        bool whole = false;                        // nothing else is asked, and nothing of the path
+        std::vector<expr::NodeId> known;           // parts of which the classes and plans are all
     };
     struct TextHash {
         using is_transparent = void;
@@ -48,10 +51,13 @@
     struct Group {
         std::vector<std::uint32_t> any;     // of any path
         std::vector<std::size_t> lengths;   // of the paths' beginnings, rising
+        std::vector<std::pair<std::string_view, const std::vector<std::uint32_t>*>> few;   // all of `paths`
         std::unordered_map<std::string, std::vector<std::uint32_t>, TextHash, std::equal_to<>> paths;
     };
+    const std::vector<std::uint32_t>& by_path(std::size_t pair, std::string_view service_class,
+                                              std::string_view plan, std::string_view path);
     static Demand demand_of(const expr::Program& program);
-    Group group_of(std::string_view service_class, std::string_view plan) const;
+    void fill(Group& group, std::string_view service_class, std::string_view plan) const;
 
     std::vector<Demand> demands_;
     std::vector<std::unique_ptr<Group>> groups_;   // by pair
--- a/src/rules/rules.cpp
+++ b/src/rules/rules.cpp
@@ -12,30 +12,6 @@
 
 constexpr std::size_t kPairsMost = 64;   // of class and plan, that are kept ready
 
-// The bytes that a key is hashed by: each value behind its kind, texts behind
-// their size, so that no two keys of different form are the same bytes.
-void append_key(std::string& key, const Value& value) {
-    key += static_cast<char>(value.kind());
-    const auto number = [&](std::uint64_t bits) {
-        for (int i = 0; i < 8; ++i) key += static_cast<char>(bits >> (8 * i));
-    };
-    switch (value.kind()) {
-        case expr::Kind::boolean:
-            key += value.truth() ? '\1' : '\0';
-            break;
-        case expr::Kind::text:
-            number(value.size());
-            key += value.view();
-            break;
-        case expr::Kind::list:
-            number(value.size());
-            for (const Value& one : value.items()) append_key(key, one);
-            break;
-        default:
-            number(value.natural());
-    }
-}
-
 std::vector<const expr::Program*> pointers(const auto& rules) {
     std::vector<const expr::Program*> all;
     for (const auto& rule : rules) all.push_back(&rule.when);
@@ -115,8 +91,7 @@
     for (const LimitSettings& one : settings_.limits) {
         const std::string section = "limit " + one.name;
         Limit& limit = limits_.emplace_back();
-        limit.always = one.when.empty();
-        limit.when = load(section, "when", limit.always ? "true" : one.when, of_request, condition);
+        limit.when = load(section, "when", one.when.empty() ? "true" : one.when, of_request, condition);
         limit.key = load(section, "key", one.key, of_request, key);
         if (one.rate <= 0 && one.max_out <= 0) fault(section, "rate", "neither rate nor max_out is set");
         limit.limiter = std::make_shared<Limiter>(Limiter::Limits{one.rate, one.burst,
@@ -127,8 +102,7 @@
     for (const TagSettings& one : settings_.tags) {
         const std::string section = "tag " + one.name;
         Tag& tag = tags_.emplace_back();
-        tag.always = one.when.empty();
-        tag.when = load(section, "when", tag.always ? "true" : one.when, of_request, condition);
+        tag.when = load(section, "when", one.when.empty() ? "true" : one.when, of_request, condition);
         tag.value = load(section, "value", one.value, of_request, text);
         counts_.push_back({section});
     }
@@ -136,6 +110,16 @@
     route_matcher_ = Matcher(pointers(routes_));
     limit_matcher_ = Matcher(pointers(limits_));
     tag_matcher_ = Matcher(pointers(tags_));
+    const auto shorten = [&](auto& rules, const Matcher& matcher) {
+        for (std::size_t i = 0; i < rules.size(); ++i)
+            rules[i].condition =
+                Condition(rules[i].when, matcher.known(static_cast<std::uint32_t>(i)), view_);
+    };
+    shorten(routes_, route_matcher_);
+    shorten(limits_, limit_matcher_);
+    shorten(tags_, tag_matcher_);
+    for (Limit& one : limits_) one.direct = Direct(one.key, view_);
+    for (Tag& one : tags_) one.direct = Direct(one.value, view_);
     return true;
 }
 
@@ -163,18 +147,32 @@
     return outcome.value;
 }
 
-bool Rules::holds(const expr::Program& program, std::size_t rule, bool known) {
-    const Value held = known ? Value::boolean(true) : value(program, rule);
+bool Rules::holds(const expr::Program& program, std::size_t rule) {
+    const Value held = value(program, rule);
     const bool yes = held.is(expr::Kind::boolean) && held.truth();
     counts_[rule].matches += yes;
     return yes;
 }
 
+inline bool Rules::holds(const Condition& condition, const expr::Program& when, std::size_t rule) {
+    if (condition.always()) return ++counts_[rule].matches, true;
+    const Condition::Held held = condition.look(view_);
+    spent_ += condition.parts();
+    if (held == Condition::Held::ask) return holds(when, rule);
+    if (held == Condition::Held::missing) error(rule, "no such key");
+    if (held != Condition::Held::yes) return false;
+    ++counts_[rule].matches;
+    return true;
+}
+
 // Classes and plans are few; a stranger's plans may be many, and are forgotten
 // then.
 std::size_t Rules::pair_of(std::string_view service_class, std::string_view plan) {
-    for (std::size_t i = 0; i < pairs_.size(); ++i)
-        if (pairs_[i].first == service_class && pairs_[i].second == plan) return i;
+    for (std::size_t i = 0; i < pairs_.size(); ++i) {
+        const auto& [a, b] = pairs_[i];
+        if (a.size() != service_class.size() || b.size() != plan.size()) continue;
+        if (a == service_class && b == plan) return i;
+    }
     if (pairs_.size() >= kPairsMost) {
         pairs_.clear();
         for (Matcher* one : {&route_matcher_, &limit_matcher_, &tag_matcher_}) one->forget();
@@ -183,15 +181,16 @@
     return pairs_.size() - 1;
 }
 
-Verdict Rules::judge(double now, const RequestFacts& request) {
-    Verdict verdict;
+void Rules::judge(double now, const RequestFacts& request, Verdict& verdict) {
+    verdict.clear();
+    view_.begin(request);
     source_.begin(&request, nullptr);
     evaluator_.reset();
     const std::size_t pair = pair_of(request.service_class, request.plan);
     for (const std::uint32_t number :
          route_matcher_.candidates(pair, request.service_class, request.plan, request.path)) {
         const Route& route = routes_[number];
-        if (!holds(route.when, route_rule(route.place), route_matcher_.decided(number))) continue;
+        if (!holds(route.condition, route.when, route_rule(route.place))) continue;
         verdict.route = route.place;
         verdict.subset = route.subset;
         verdict.spill = route.spill;
@@ -199,7 +198,19 @@
     }
     if (!limits_.empty()) find_limits(now, pair, request, verdict);
     if (!tags_.empty()) find_tags(pair, request, verdict);
-    return verdict;
+}
+
+bool Rules::key_of(const Limit& limit, std::size_t rule) {
+    key_.clear();
+    if (limit.direct) {
+        spent_ += limit.direct.parts();
+        if (limit.direct.key(view_, key_)) return true;
+        key_.clear();
+    }
+    const Value key = value(limit.key, rule);
+    if (key.is_error()) return false;
+    append_key(key_, key);
+    return true;
 }
 
 void Rules::find_limits(double now, std::size_t pair, const RequestFacts& request, Verdict& verdict) {
@@ -207,11 +218,8 @@
          limit_matcher_.candidates(pair, request.service_class, request.plan, request.path)) {
         Limit& limit = limits_[number];
         const std::size_t rule = limit_rule(number);
-        if (!holds(limit.when, rule, limit.always || limit_matcher_.decided(number))) continue;
-        const Value key = value(limit.key, rule);
-        if (key.is_error()) continue;
-        key_.clear();
-        append_key(key_, key);
+        if (!holds(limit.condition, limit.when, rule)) continue;
+        if (!key_of(limit, rule)) continue;
         Verdict::Hit& hit = verdict.hits.emplace_back();
         hit.limiter = limit.limiter;
         hit.count = settings_.limits[number].count == 1 ? request.units : 1;
@@ -227,7 +235,12 @@
          tag_matcher_.candidates(pair, request.service_class, request.plan, request.path)) {
         const Tag& tag = tags_[number];
         const std::size_t rule = tag_rule(number);
-        if (!holds(tag.when, rule, tag.always || tag_matcher_.decided(number))) continue;
+        if (!holds(tag.condition, tag.when, rule)) continue;
+        spent_ += tag.direct.parts();
+        if (const std::string_view direct = tag.direct.text(view_); direct.data()) {
+            verdict.tags.emplace_back(number, direct);
+            continue;
+        }
         const Value text = value(tag.value, rule);
         if (text.is(expr::Kind::text)) verdict.tags.emplace_back(number, text.view());
     }
--- a/src/rules/rules.hpp
+++ b/src/rules/rules.hpp
@@ -17,6 +17,7 @@
 #include "rules/limiter.hpp"
 #include "rules/matcher.hpp"
 #include "rules/settings.hpp"
+#include "rules/shortcut.hpp"
 #include "rules/variables.hpp"
 #include "slatejunction/gateway.hpp"
 
@@ -35,6 +36,14 @@
     std::size_t route = kNone, over = kNone;   // their numbers
     std::vector<Hit> hits;
     std::vector<std::pair<std::size_t, std::string>> tags;   // number, value
+    void clear() {                                           // keeps the memory
+        subset = 0;
+        spill = slatejunction::Spill::never;
+        over_limit_s = 0;
+        route = over = kNone;
+        hits.clear();
+        tags.clear();
+    }
 };
 
 // What has been counted of one rule since it was loaded.
@@ -58,7 +67,12 @@
     void adopt(const Rules& other);
 
     // `now` in s, of one clock for all calls. Draws nothing from any limit.
-    Verdict judge(double now, const RequestFacts& request);
+    void judge(double now, const RequestFacts& request, Verdict& verdict);
+    Verdict judge(double now, const RequestFacts& request) {
+        Verdict verdict;
+        judge(now, request, verdict);
+        return verdict;
+    }
     // The request's first attempt is sent: its limits are drawn.
     void sent(double now, Verdict& verdict, bool spilled);
     // It was refused by the limit that verdict.over names.
@@ -80,23 +94,27 @@
   private:
     struct Limit {
         expr::Program when, key;
-        bool always = false;
+        Condition condition;
+        Direct direct;
         std::shared_ptr<Limiter> limiter;
     };
     struct Tag {
         expr::Program when, value;
-        bool always = false;
+        Condition condition;
+        Direct direct;
     };
     struct Route {
         expr::Program when;
+        Condition condition;
         std::size_t place = 0;   // in the settings
         std::uint64_t subset = 0;
         slatejunction::Spill spill = slatejunction::Spill::never;
     };
     Rules(const Settings& settings, const GatewayFacts& gateway, ErrorHost on_error);
     bool compile_all(std::vector<std::string>& faults);
-    bool holds(const expr::Program& program, std::size_t rule,
-               bool known = false);   // known: it does
+    bool holds(const expr::Program& program, std::size_t rule);
+    bool holds(const Condition& condition, const expr::Program& when, std::size_t rule);
+    bool key_of(const Limit& limit, std::size_t rule);   // into key_; false: an error
     expr::Value value(const expr::Program& program, std::size_t rule);
     void error(std::size_t rule, std::string_view why);
     void find_limits(double now, std::size_t pair, const RequestFacts& request, Verdict& verdict);
@@ -115,6 +133,7 @@
     std::vector<Tag> tags_;
     std::vector<RuleCount> counts_;
     Matcher route_matcher_, limit_matcher_, tag_matcher_;
+    View view_;
     Source source_;
     expr::Evaluator evaluator_;
     std::string key_;
--- a/src/rules/variables.cpp
+++ b/src/rules/variables.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-constexpr std::size_t kWordMost = 256;   // bytes: names of classes, plans, providers and the like
-constexpr std::size_t kMethodMost = 32;
 constexpr int kAskedMost = 8;   // headers looked for one by one; for more the map is worth making
 
 // The look for bytes that are not UTF-8.
--- a/src/rules/variables.hpp
+++ b/src/rules/variables.hpp
@@ -17,6 +17,9 @@
     std::size_t fields = http::kFieldsMost;
 };
 
+// Bytes: names of classes, plans, providers and the like; a method.
+inline constexpr std::size_t kWordMost = 256, kMethodMost = 32;
+
 // Their order here is that of the environments below.
 enum class Name : std::uint32_t {
     request_method,
--- /dev/null
+++ b/tests/rules/shortcut_test.cpp
@@ -0,0 +1,183 @@
+// Shortcuts against the evaluator: whatever a shortcut is sure of, the evaluator says too, over random
+// conditions, keys and requests, with headers that are missing, come twice or are not UTF-8.
+#include "rules/shortcut.hpp"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace slatejunction;
+using Held = rules::Condition::Held;
+using Strings = std::vector<std::string>;
+
+namespace {
+
+struct Maker {
+    std::mt19937_64 random{20261202};
+    const Strings texts{"risk-read", "warn-send", "plus",     "/a",   "/a/b",
+                        "storm",     "",          "\xc3\xa9", "\xff", "x"};
+    const Strings literals{"risk-read", "warn-send", "plus", "/a", "/a/b", "storm", "", "\xc3\xa9", "x"};
+    const Strings ops{"==", "!=", "<", "<=", ">", ">="};
+
+    template <class T>
+    const T& pick(const std::vector<T>& all) {
+        return all[random() % all.size()];
+    }
+    std::string text() {
+        return pick(Strings{"request.method", "request.path", "request.query", "request.class",
+                            "request.plan", "request.id", "request.headers['x-desk']",
+                            "request.headers['x-other']", "request.headers['X-Desk']"});
+    }
+    std::string literal() { return "'" + pick(literals) + "'"; }
+    std::string part() {
+        const auto number = [&] { return std::to_string(random() % 4); };
+        switch (random() % 11) {
+            case 0:
+                return text() + pick(Strings{" == ", " != "}) + literal();
+            case 1:
+                return text() + ".startsWith(" + literal() + ")";
+            case 2:
+                return text() + " in [" + literal() + ", " + literal() + "]";
+            case 3:
+                return pick(Strings{"request.customer ", "request.deadline_ms "}) + pick(ops) + " " +
+                       number();
+            case 4:
+                return "request.units " + pick(ops) + " " + number() + ".0";
+            case 5:
+                return "bucket(request.customer, 3) " + pick(ops) + " " + number();
+            case 6:
+                return pick(Strings{"", "!"}) + "request.retry";
+            case 7:
+                return pick(Strings{"", "!"}) + "('x-desk' in request.headers)";
+            case 8:
+                return "'X-Desk' in request.headers";   // never: names are in lower case
+            case 9:
+                return "(" + part() + " || " + part() + ")";   // left to the evaluator
+            default:
+                return pick(Strings{"true", "false", "1 / request.customer == 1"});
+        }
+    }
+    std::string condition() {
+        std::string all = part();
+        for (std::size_t more = random() % 3; more > 0; --more) all += " && " + part();
+        return all;
+    }
+};
+
+// A request that owns what its facts point to.
+struct Request {
+    Strings texts;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::vector<http::Field> fields;
+    rules::RequestFacts facts;
+
+    explicit Request(Maker& make) {
+        for (int i = 0; i < 6; ++i) texts.push_back(make.pick(make.texts));
+        for (std::size_t left = make.random() % 4; left > 0; --left)
+            headers.emplace_back(make.pick(Strings{"X-Desk", "x-desk", "Host", "X-Other"}),
+                                 make.pick(make.texts));
+        for (const auto& [name, value] : headers) fields.push_back({name, value});
+        facts = {texts[0], texts[1], texts[2], texts[3], texts[4], texts[5], fields, 0, 0, 0, false};
+        facts.customer = static_cast<std::int64_t>(make.random() % 4);
+        facts.deadline_ms = static_cast<std::int64_t>(make.random() % 4);
+        facts.units = static_cast<double>(make.random() % 8) / 2;
+        facts.retry = make.random() % 2 == 0;
+    }
+};
+
+}   // namespace
+
+TEST_CASE("what a shortcut says of a condition is what the evaluator says") {
+    Maker make;
+    const auto environment = rules::environment(rules::Scope::request);
+    const rules::GatewayFacts gateway;
+    int sure = 0, asked = 0, missing = 0;
+    for (int round = 0; round < 400; ++round) {
+        const std::string source = make.condition();
+        const auto program = expr::compile(source, environment, {.wanted = expr::Type::Tag::boolean});
+        rules::View view;
+        const rules::Condition condition(program, {}, view);
+        rules::Source values(gateway);
+        expr::Evaluator evaluator;
+        for (int i = 0; i < 40; ++i) {
+            const Request request(make);
+            view.begin(request.facts);
+            const Held held = condition.look(view);
+            values.begin(&request.facts, nullptr);
+            evaluator.reset();
+            const auto value = evaluator.run(program, values).value;
+            INFO(source);
+            asked += held == Held::ask;
+            if (held == Held::ask) continue;
+            ++sure;
+            missing += held == Held::missing;
+            if (held == Held::missing) {
+                REQUIRE(value.is_error());
+                REQUIRE(value.view() == "no such key");
+            } else {
+                REQUIRE(value.is(expr::Kind::boolean));
+                REQUIRE(value.truth() == (held == Held::yes));
+            }
+        }
+    }
+    // Each way was taken often.
+    CHECK(sure > 9'000);
+    CHECK(asked > 1'000);
+    CHECK(missing > 300);
+}
+
+TEST_CASE("a key's bytes are the same by shortcut and by the evaluator") {
+    Maker make;
+    const auto environment = rules::environment(rules::Scope::request);
+    const rules::GatewayFacts gateway;
+    int sure = 0;
+    for (int round = 0; round < 200; ++round) {
+        const auto one = [&] {
+            return make.random() % 3 ? make.text()
+                                     : make.pick(Strings{"request.customer", "request.deadline_ms"});
+        };
+        std::string source = one();
+        if (make.random() % 2) source = "[" + source + (make.random() % 2 ? ", " + source : "") + "]";
+        const auto program = expr::compile(source, environment, {.any_key = true});
+        rules::View view;
+        const rules::Direct direct(program, view);
+        REQUIRE(static_cast<bool>(direct) == (source.find("X-Desk") == std::string::npos));
+        rules::Source values(gateway);
+        expr::Evaluator evaluator;
+        for (int i = 0; i < 20 && direct; ++i) {
+            const Request request(make);
+            view.begin(request.facts);
+            std::string key, wanted;
+            if (!direct.key(view, key)) continue;
+            ++sure;
+            values.begin(&request.facts, nullptr);
+            evaluator.reset();
+            const auto value = evaluator.run(program, values).value;
+            INFO(source);
+            REQUIRE_FALSE(value.is_error());
+            rules::append_key(wanted, value);
+            REQUIRE(key == wanted);
+            if (value.is(expr::Kind::text) && direct.text(view).data())
+                REQUIRE(direct.text(view) == value.view());
+        }
+    }
+    CHECK(sure > 1'500);
+}
+
+TEST_CASE("a head over its bound is left to the evaluator") {
+    const auto environment = rules::environment(rules::Scope::request);
+    const auto program = expr::compile("'x-desk' in request.headers", environment, {});
+    rules::View view;
+    const rules::Condition condition(program, {}, view);
+    rules::RequestFacts facts;
+    std::vector<http::Field> fields(http::kFieldsMost + 1, http::Field{"x", "y"});
+    facts.headers = fields;
+    view.begin(facts);
+    CHECK(condition.look(view) == Held::ask);
+    facts.headers = std::span(fields).first(http::kFieldsMost);
+    view.begin(facts);
+    CHECK(condition.look(view) == Held::no);
+    const std::string large(http::kHeadMost, 'x');
+    fields[0].value = large;
+    view.begin(facts);
+    CHECK(condition.look(view) == Held::ask);
+}
