--- a/src/consumer/invocation.cpp
+++ b/src/consumer/invocation.cpp
@@ -37,6 +37,7 @@
     }
     if (units != 1 || spread != 1 || first != 1) return false;
     invocation.doors = doors;
+    invocation.first_door = door;
     const bool bounded = settings.largest_units > 0;
     return std::isfinite(invocation.units) && invocation.units > 0 &&
            (!bounded || invocation.units <= settings.largest_units) && doors >= 1 &&
--- a/src/consumer/invocation.hpp
+++ b/src/consumer/invocation.hpp
@@ -18,6 +18,7 @@
     std::string_view service_class, plan;
     std::uint64_t customer = 0;
     double units = 0, doors = 0;
+    unsigned first_door = 0;       // the first of the ingresses that the customer's requests come through
     double arrived = 0, due = 0;   // s, net::now(): its last byte, and when the consumer stops waiting
     bool repeat = false;
     std::span<const http::Field> headers;   // while it is handed on, and only where its host wants them
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -161,6 +161,7 @@
     request.doors = i.doors;
     request.repeat = i.repeat;
     if (rules_) judge(open, request);
+    if (quota_) look_at_quota(open, request);
     tell(std::move(request));
     return number;
 }
@@ -289,6 +290,7 @@
     if (observer_) open->provider = send.server;
     if (open->verdict && tag.attempt == 0 && rules_ && open->rules == rules_number_)
         rules_->sent(now, *open->verdict, send.spilled);
+    if (quota_ && tag.attempt == 0) draw(*open);
     const auto call = pool_.call(send.server, tag, open->invocation, until);
     if (call) open->calls[static_cast<std::size_t>(tag.attempt)] = call;
 }
@@ -304,8 +306,12 @@
 void Ingress::carry_out(const slatejunction::Refuse& refuse) {
     Open* open = find(refuse.id);
     if (open && open->consumer) {
-        const auto number = static_cast<std::size_t>(refuse.reason);
-        if (refuse.reason == slatejunction::Reason::limit && rules_ && open->rules == rules_number_)
+        // A quota kept here is a limit to the module.
+        const bool of_quota = refuse.reason == slatejunction::Reason::limit && open->over_quota;
+        const auto number =
+            static_cast<std::size_t>(of_quota ? slatejunction::Reason::quota : refuse.reason);
+        if (refuse.reason == slatejunction::Reason::limit && rules_ && !of_quota &&
+            open->rules == rules_number_)
             rules_->refused(*open->verdict);
         if (observer_) observe(*open, Finish::How::refused, metrics::kReasons[number], number);
         answer(*open, {503, refuse.retry_after_s, {}, {}});
@@ -407,6 +413,30 @@
     request.over_limit_s = open.verdict->over_limit_s;
 }
 
+// Quotas that a shared counter keeps. -----------------------------------------------------------------
+
+void Ingress::look_at_quota(Open& open, slatejunction::Request& request) {
+    const consumer::Invocation& i = *open.invocation;
+    const double wait = quota_->look(i.customer, plan_number(i.plan),
+                                     {i.first_door, static_cast<unsigned>(i.doors)}, i.units);
+    if (wait <= request.over_limit_s) return;
+    request.over_limit_s = wait;
+    open.over_quota = true;
+}
+
+void Ingress::draw(Open& open) {
+    const consumer::Invocation& i = *open.invocation;
+    quota_->take(i.customer, plan_number(i.plan), {i.first_door, static_cast<unsigned>(i.doors)}, i.units);
+    open.drawn = true;
+}
+
+unsigned Ingress::plan_number(std::string_view plan) const {
+    const auto& plans = config_.settings.plans;
+    const auto at =
+        std::find_if(plans.begin(), plans.end(), [&](const auto& one) { return one.name == plan; });
+    return static_cast<unsigned>(at - plans.begin());
+}
+
 Gauges Ingress::gauges() const {
     Gauges now;
     now.open = open_.size();
@@ -441,6 +471,7 @@
         if (spare_verdicts_.size() < kSpareVerdicts)
             spare_verdicts_.push_back(std::move(at->second.verdict));
     }
+    if (at->second.drawn) quota_->ended(at->second.invocation->customer);
     ids_.erase(at->second.invocation->request_id);
     open_.erase(at);
 }
--- a/src/ingress/ingress.hpp
+++ b/src/ingress/ingress.hpp
@@ -15,6 +15,7 @@
 #include "ingress/observer.hpp"
 #include "log/log.hpp"
 #include "provider/pool.hpp"
+#include "quota/driver.hpp"
 #include "rules/rules.hpp"
 #include "slatejunction/gateway.hpp"
 
@@ -35,6 +36,8 @@
     void set_rules(std::unique_ptr<rules::Rules> rules);
     void on_rule_error(const std::string& rule, std::string_view why);   // what they were loaded with
     rules::Rules* rules() const { return rules_.get(); }
+    // Keeps the customers' quotas in place of the module; null: the module does. Lives longer.
+    void set_quota(quota::Driver* quota) { quota_ = quota; }
     Gauges gauges() const;
 
   private:
@@ -49,6 +52,8 @@
         std::string provider;                      // the last one called, where somebody records it
         std::unique_ptr<rules::Verdict> verdict;   // where there are rules
         std::uint64_t rules = 0;                   // which made it, as they were counted
+        bool drawn = false;                        // its units, from its customer's quota
+        bool over_quota = false;                   // which had no room for them
     };
     struct DueTimer {
         double due;
@@ -90,6 +95,9 @@
     void observe(const Open& open, Finish::How how, std::string_view reason, std::size_t refusal = 0);
     void forget_if_over(std::uint64_t number);
     void judge(Open& open, slatejunction::Request& request);
+    void look_at_quota(Open& open, slatejunction::Request& request);
+    void draw(Open& open);
+    unsigned plan_number(std::string_view plan) const;   // in the settings; their number: none of them
     void timers_due();
     void sweep();
 
@@ -115,6 +123,7 @@
     std::unique_ptr<rules::Rules> rules_;
     std::vector<std::unique_ptr<rules::Verdict>> spare_verdicts_;   // their memory, for the next requests
     rules::Fleet fleet_;
+    quota::Driver* quota_ = nullptr;
     std::uint64_t rules_number_ = 0;   // of the rules in force
     double judged_at_ = 0;             // the time, while rules judge a request; else 0
     double rule_told_ = -1e18;         // when an error of one was last logged
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -17,6 +17,7 @@
 #include "metrics/measures.hpp"
 #include "metrics/table.hpp"
 #include "operator/options.hpp"
+#include "quota/driver.hpp"
 #include "rules/command.hpp"
 #include "rules/keeper.hpp"
 #include "telemetry/telemetry.hpp"
@@ -63,6 +64,7 @@
     const sj::directory::UnixClock& clock;
     const Files& files;
     const sj::rules::GatewayFacts& name;
+    sj::quota::Driver* quota;   // null: the module keeps the quotas
     sj::operating::Options options;
 
     // SIGHUP: the files have changed. Guards against one that is broken or half written: nothing of either
@@ -78,7 +80,8 @@
             }
         if (!good) return;
         try {
-            const auto config = sj::config::load(files.config, clock, sj::config::Moment::reload);
+            auto config = sj::config::load(files.config, clock, sj::config::Moment::reload);
+            if (quota) config.settings = sj::quota::without_quotas(config.settings);
             if (!files.options.empty()) {
                 std::vector<std::string> faults;
                 const bool other = fresh.rules != options.rules;
@@ -101,6 +104,8 @@
             log.write(sj::Log::Level::info, sj::net::now(), "reloaded: the operator's file%s",
                       later ? "; after the next start: log.requests, metrics, remote_write" : "");
         }
+        const bool later = quota ? !quota->reload(fresh.quota) : fresh.quota.on();
+        if (later) log.write(sj::Log::Level::info, sj::net::now(), "reloaded: after the next start: quota");
         options = fresh;
     }
 
@@ -131,6 +136,10 @@
     const sj::net::Loop loop(g_main_loop_new(nullptr, FALSE));
     sj::config::Config config = sj::config::load(files.config, clock);
     sj::config::hold_descriptors(config);
+    std::string fault;
+    const sj::quota::Settings quotas = sj::quota::settings_of(options.quota, config.settings, fault);
+    if (options.quota.on() && !fault.empty()) return fail(files.options + ": [quota] " + fault);
+    if (options.quota.on()) config.settings = sj::quota::without_quotas(config.settings);
     const sj::rules::GatewayFacts name{config.name, config.settings.zone};
     sj::net::Timers timers;   // one for all: each source of the loop costs every wake-up a look
     // Nothing is made, counted or looked at where the operator's file names nothing of it.
@@ -138,6 +147,12 @@
     if (options.collects() || options.log.requests != 0)
         telemetry =
             std::make_unique<sj::telemetry::Telemetry>(options, config, SLATEJUNCTION_VERSION, timers, log);
+    std::unique_ptr<sj::quota::Driver> quota;
+    if (options.quota.on()) {
+        quota = std::make_unique<sj::quota::Driver>(options.quota, quotas, config.seed, timers, log);
+        for (const std::string& line : sj::quota::stated(quotas))
+            log.write(sj::Log::Level::info, sj::net::now(), "%s", line.c_str());
+    }
     const auto quit = [&loop] { g_main_loop_quit(loop.get()); };
     std::unique_ptr<sj::rules::Keeper> keeper;
     sj::ingress::Ingress ingress(
@@ -154,6 +169,7 @@
         std::vector<std::string> faults;   // none: the file was checked as a whole
         ingress.set_rules(load_rules(options, ingress, name, faults));
     }
+    ingress.set_quota(quota.get());
     std::optional<sj::store::Directory> state;   // else telemetry's own
     if (!options.rules.limits.empty() && !options.metrics.directory.empty()) {
         if (!options.collects()) state.emplace(options.metrics.directory);
@@ -168,12 +184,14 @@
                     clock,
                     files,
                     name,
+                    quota.get(),
                     options};
     const sj::net::Source source(g_unix_fd_source_new(program.fd, G_IO_IN));
     g_source_set_callback(source.get(), G_SOURCE_FUNC(&Program::on_signal), &program, nullptr);
     sj::net::attach(source.get());
     std::string why;
     if (!ingress.start(why)) return fail("NODE_LISTEN can't be listened on: " + why);
+    if (quota) quota->start();
     if (telemetry) telemetry->start([&ingress] { return ingress.gauges(); });
     g_main_loop_run(loop.get());
     log.flush(kLastLines);
@@ -185,6 +203,14 @@
     bool good = load_options(files.options, options);
     try {
         const auto read = sj::config::load(files.config, sj::directory::UnixClock());
+        std::string fault;
+        const auto quotas = sj::quota::settings_of(options.quota, read.settings, fault);
+        if (good && options.quota.on() && !fault.empty()) {
+            good = false;
+            fail(files.options + ": [quota] " + fault);
+        }
+        if (good && options.quota.on())
+            for (const std::string& line : sj::quota::stated(quotas)) std::printf("%s\n", line.c_str());
         if (good)
             std::printf("configuration of %s is good: %zu classes, %zu plans, %zu providers known\n",
                         read.name.c_str(), read.settings.classes.size(), read.settings.plans.size(),
--- a/src/operator/options.cpp
+++ b/src/operator/options.cpp
@@ -20,6 +20,7 @@
     all.push_back(metrics.state());
     all.push_back(remote_write.section());
     all.push_back(rules.section());
+    all.push_back(quota.section());
     return all;
 }
 
--- a/src/operator/options.hpp
+++ b/src/operator/options.hpp
@@ -7,6 +7,7 @@
 
 #include "log/settings.hpp"
 #include "metrics/settings.hpp"
+#include "quota/settings.hpp"
 #include "remotewrite/settings.hpp"
 #include "rules/settings.hpp"
 
@@ -17,6 +18,7 @@
     metrics::Settings metrics;
     remotewrite::Settings remote_write;
     rules::Settings rules;
+    quota::Options quota;
 
     bool collects() const { return metrics.collect == 1 || !remote_write.url.empty(); }
     std::vector<ini::Section> sections();   // they write into this object
--- a/src/quota/bank.cpp
+++ b/src/quota/bank.cpp
@@ -80,8 +80,8 @@
     error.split =
         error.healthy +
         cut_off * (s.share_burst + s.share_rate * (kMissingAfter + kBeatLife + 2 * kBeatEvery + kSettle));
-    // The first name that is met shows it; all stores count as empty from then on, and what was passed beyond
-    // them before is forgotten.
+    // The first name that is met shows it; all stores count as empty from then on, and what was passed
+    // beyond them before is forgotten.
     error.empty = error.healthy + d * s.credit;
     // What was reported since the last check may be gone unseen, a whole burst of it.
     error.older = error.empty + s.burst;
--- a/src/quota/bank.hpp
+++ b/src/quota/bank.hpp
@@ -100,6 +100,7 @@
     double due() const { return due_; }
     // Calls to be made, in their order.
     std::vector<Call> take_calls();
+    bool has_calls() const { return !calls_.empty(); }
 
     bool lost(unsigned part) const { return parts_[part].lost; }
     std::size_t customers() const { return accounts_.size(); }
--- /dev/null
+++ b/src/quota/driver.hpp
@@ -0,0 +1,60 @@
+// Carries a Bank's calls to the counter and its answers back: a connection for each part, one timer.
+// Decides nothing.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "log/log.hpp"
+#include "net/stream.hpp"
+#include "net/timers.hpp"
+#include "quota/bank.hpp"
+#include "quota/settings.hpp"
+#include "quota/wire.hpp"
+
+namespace slatejunction::quota {
+
+class Driver {
+  public:
+    // `settings` as settings_of() made them, without a fault.
+    Driver(const Options& options, const Settings& settings, std::uint64_t seed, net::Timers& timers,
+           Log& log);
+    ~Driver();
+    void start();
+    // Moves to other addresses or the other protocol; what is out at the old ones may or may not have been
+    // added. What else has changed waits for the next start. False: there is a change of that kind.
+    bool reload(const Options& options);
+
+    // See Bank; `plan`: its number in the settings.
+    double look(std::uint64_t customer, unsigned plan, Doors doors, double units);
+    void take(std::uint64_t customer, unsigned plan, Doors doors, double units);
+    void ended(std::uint64_t customer) { bank_.ended(customer); }
+
+    const Bank& bank() const { return bank_; }
+    std::uint64_t calls() const { return calls_; }
+
+  private:
+    struct Link;
+    double now() const;   // s of the clock that all ingresses read
+    void pump();
+    void close(std::size_t part);
+    void due();
+    void tell();
+
+    Options options_;
+    std::vector<std::string> parts_;
+    std::vector<net::Address> addresses_;
+    Bank bank_;
+    net::Timers& timers_;
+    Log& log_;
+    net::Timer timer_;
+    std::vector<std::shared_ptr<Link>> links_;   // by part; null: no connection
+    std::vector<bool> told_lost_;
+    std::uint64_t told_empties_ = 0, calls_ = 0;
+    double armed_for_ = 0;   // of net::now()
+    const double unix_at_zero_;
+};
+
+}   // namespace slatejunction::quota
--- a/standins/load.cpp
+++ b/standins/load.cpp
@@ -143,15 +143,18 @@
         if ((one.effect != slatejunction::Effect::pure) == write) service = &one;
     job.service_class = service->name;
     const bool pure = service->effect == slatejunction::Effect::pure;
+    const auto gateways = static_cast<unsigned>(std::max(1.0, platform_.balancers));
+    const int first = settings_.spread > 1 ? static_cast<int>(customer % gateways)
+                                           : static_cast<int>(platform_.my_number);
     char head[512];
     std::snprintf(head, sizeof head,
                   "%s /%s?customer=%016llx HTTP/1.1\r\nHost: service.internal\r\nX-Request-Id: %s\r\n"
                   "X-Class: %s\r\nX-Tier: %s\r\nX-Deadline: %.3f\r\n%s"
-                  "X-Call-Terms: units=%g,spread=1,first=%d\r\n\r\n",
+                  "X-Call-Terms: units=%g,spread=%u,first=%d\r\n\r\n",
                   pure ? "GET" : "POST", service->name.c_str(), static_cast<unsigned long long>(customer),
                   job.id.c_str(), service->name.c_str(), job.plan.c_str(),
                   service->deadline_s > 0 ? service->deadline_s : 5.0, pure ? "" : "Content-Length: 0\r\n",
-                  settings_.units, static_cast<int>(platform_.my_number));
+                  settings_.units, settings_.spread, first);
     job.bytes = head;
     return job;
 }
--- a/standins/load.hpp
+++ b/standins/load.hpp
@@ -23,6 +23,7 @@
     std::uint64_t customers = 50;     // their numbers begin with 1; each keeps one plan
     double write_part = 0.17;         // of the requests, those of a class that can't be repeated
     double units = 1;
+    unsigned spread = 1;   // ingresses that a customer's requests come through; one of them is the target
     std::uint64_t seed = 1;
     double progress_s = 1;   // between lines of progress; 0: none
     std::uint64_t one_by_one =
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -10,9 +10,11 @@
 #include <memory>
 #include <string>
 
+#include "counter.hpp"
 #include "directory.hpp"
 #include "load.hpp"
 #include "provider.hpp"
+#include "quotas.hpp"
 #include "receiver_server.hpp"
 #include "recording.hpp"
 #include "rules.hpp"
@@ -93,6 +95,27 @@
                      });
 }
 
+int run_counter(const Common& common, const standin::CounterSettings& settings) {
+    Stage stage(common);
+    standin::Counter counter(stage.timers(), settings);
+    std::string why;
+    if (!counter.start(why)) return Stage::fail(why);
+    return stage.run([&] { return counter.summary(); },
+                     [&](const std::string& path) -> std::string {
+                         if (path == "/empty") return counter.empty(), "";
+                         if (path == "/save") return counter.save(), "";
+                         if (path == "/restore") return counter.restore(), "";
+                         for (const auto& [prefix, on] : {std::pair{"/cut/", true}, {"/join/", false}})
+                             if (const std::string number = words_of(path, prefix); !number.empty())
+                                 return counter.cut(std::strtoul(number.c_str(), nullptr, 10), on)
+                                            ? ""
+                                            : "no such address";
+                         if (const std::string fault = words_of(path, "/fault/"); !fault.empty())
+                             return counter.set_fault(fault) ? "" : "no such fault";
+                         return "no such order";
+                     });
+}
+
 int run_directory(const Common& common, const std::string& listen,
                   const std::vector<std::string>& members) {
     std::vector<standin::Directory::Member> all;
@@ -199,6 +222,34 @@
     return differ > 0;
 }
 
+int check_quotas(const std::vector<std::string>& logs, const std::string& config,
+                 const std::vector<std::string>& errors) {
+    const auto settings =
+        slatejunction::config::load(config, slatejunction::directory::UnixClock()).settings;
+    std::map<std::string, double> stated;
+    for (const std::string& one : errors) {
+        const std::size_t mark = one.find('=');
+        if (mark == std::string::npos) return Stage::fail("'" + one + "' is not PLAN=UNITS");
+        stated[one.substr(0, mark)] = std::stod(one.substr(mark + 1));
+    }
+    int status = 0;
+    for (const auto& [plan, found] : standin::check_quotas(logs, settings).plans) {
+        const auto part = [](std::size_t a, std::size_t b) {
+            return b > 0 ? static_cast<double>(a) / static_cast<double>(b) : 0;
+        };
+        const bool breach = stated.count(plan) > 0 && found.worst > stated[plan];
+        std::printf(
+            "%s: asked %zu, sent on %zu, worst %.2f units below an empty store (%s), refused with room "
+            "%.4f, "
+            "inside %.4f of a perfect store's%s\n",
+            plan.c_str(), found.asked, found.sent, found.worst, found.customer.c_str(),
+            part(found.refused_with_room, found.asked), part(found.inside, found.perfect),
+            breach ? "; MORE THAN IS STATED" : "");
+        if (breach) status = 1;
+    }
+    return status;
+}
+
 int run_load(const Common& common, const standin::LoadSettings& settings, const std::string& config) {
     const slatejunction::directory::UnixClock clock;
     std::ifstream in(config, std::ios::binary);
@@ -255,6 +306,20 @@
     providing->add_option("--fall-s", provider.fall_s, "over so long")->capture_default_str();
     providing->add_option("--seed", provider.seed, "of the service times")->capture_default_str();
 
+    standin::CounterSettings counter;
+    auto* counting = app.add_subcommand("counter",
+                                        "a shared counter that speaks HTTP and RESP. Orders: POST "
+                                        "/fault/NAME[/N] (none, silent, lost, refuse,\n"
+                                        "down, slow N, noise, twice), /empty, /save, /restore, "
+                                        "/cut/ADDRESS and /join/ADDRESS (numbers from 0)");
+    shared(counting);
+    counting
+        ->add_option("--listen", counter.listen, "ADDRESS:PORT, once for each ingress that may be cut off")
+        ->required()
+        ->expected(1)
+        ->take_all();
+    counting->add_option("--call-ms", counter.call_ms, "work of a call")->capture_default_str();
+
     std::string listen;
     std::vector<std::string> members;
     auto* directing = app.add_subcommand(
@@ -296,8 +361,19 @@
     comparing->add_option("--recording", recording, "what remote-write --out has written")->required();
     comparing->add_option("--log", log, "the ingress's log: format = json, requests = all")->required();
 
-    standin::LoadSettings load;
+    std::vector<std::string> logs, errors;
     std::string config;
+    auto* accounting = app.add_subcommand(
+        "check-quota",
+        "what ingresses sent on, by their logs, against the true stores; exit status 1 on a breach");
+    accounting->add_option("--log", logs, "format = json, requests = all; once for each ingress")
+        ->required()
+        ->expected(1)
+        ->take_all();
+    accounting->add_option("--config", config, "an ingress's configuration, for its plans")->required();
+    accounting->add_option("--error", errors, "PLAN=UNITS, what is stated")->expected(1)->take_all();
+
+    standin::LoadSettings load;
     auto* loading = app.add_subcommand("load", "an open loop of requests");
     shared(loading);
     loading->add_option("--target", load.target, "the ingress: ADDRESS:PORT")->required();
@@ -310,6 +386,8 @@
                      "so many requests, each after the answer to the one before; 0: an open loop")
         ->capture_default_str();
     loading->add_option("--customers", load.customers, "so many")->capture_default_str();
+    loading->add_option("--spread", load.spread, "ingresses that a customer's requests come through")
+        ->capture_default_str();
     loading->add_option("--write-part", load.write_part, "part of the requests that may run once only")
         ->capture_default_str();
     loading->add_option("--seed", load.seed, "of times, customers and classes")->capture_default_str();
@@ -324,9 +402,11 @@
     }
     try {
         if (*providing) return run_provider(common, provider);
+        if (*counting) return run_counter(common, counter);
         if (*directing) return run_directory(common, listen, members);
         if (*receiving) return run_receiver(common, listen, v1_only, credentials, script, out);
         if (*comparing) return compare_sums(recording, log);
+        if (*accounting) return check_quotas(logs, config, errors);
         if (*checking) return check_rules(rules, recording, speed, trimmed);
         return run_load(common, load, config);
     } catch (const std::exception& fault) {
