--- a/src/quota/bank.cpp
+++ b/src/quota/bank.cpp
@@ -100,6 +100,10 @@
     for (Part& part : parts_) part.beat_at.assign(settings_.ingresses, kNever);
 }
 
+unsigned Bank::part_of(std::uint64_t customer) const {
+    return static_cast<unsigned>(customer * 0x9e3779b97f4a7c15ULL >> 33) % settings_.parts;
+}
+
 double Bank::step(double now) {
     if (std::isfinite(now) && now > now_) {
         if (now_ == 0) {
@@ -187,7 +191,7 @@
     Account fresh;
     fresh.plan = plan_number;
     fresh.doors = doors;
-    fresh.part = static_cast<unsigned>(customer * 0x9e3779b97f4a7c15ULL >> 33) % settings_.parts;
+    fresh.part = part_of(customer);
     const bool known = at != accounts_.end() && at->second.plan == plan_number && at->second.doors == doors;
     const Account& account = known ? at->second : fresh;
     if (known && now_ - account.known_at > kRereadEvery) reread(customer, at->second);
@@ -214,7 +218,7 @@
         // Of another plan its stores are others; what is known in s counts on.
         account.plan = plan_number;
         account.doors = doors;
-        account.part = static_cast<unsigned>(customer * 0x9e3779b97f4a7c15ULL >> 33) % settings_.parts;
+        account.part = part_of(customer);
         if (made && accounts_.size() > settings_.customers_most) {
             forget_some();
             return accounts_[customer];
--- a/src/quota/bank.hpp
+++ b/src/quota/bank.hpp
@@ -172,6 +172,7 @@
     };
 
     double step(double now);
+    unsigned part_of(std::uint64_t customer) const;   // of the counter
     const PlanQuota& plan(const Account& account) const { return settings_.plans[account.plan]; }
     double factor(const Account& account) const;
     bool sharing(const Account& account) const;   // it keeps to its share
--- a/src/rules/shortcut.cpp
+++ b/src/rules/shortcut.cpp
@@ -14,7 +14,7 @@
 using expr::NodeId;
 using expr::Tree;
 
-constexpr std::array<std::pair<std::string_view, Name>, 12> kFields{{
+constexpr std::array<std::pair<std::string_view, Name>, 11> kFields{{
     {"method", Name::request_method},
     {"path", Name::request_path},
     {"query", Name::request_query},
