Take a customer of many doors that is not known here to ask much

Each door passed the first try of everyone: harmless alone. Cause: QuotaShares::demand(), kPriorUse 0.7: the mean over customers. Behind many doors a light customer is rarely heard, so one that comes is likely a heavy one. The prior is now over those that ask, and grows as fewer come to a door. The margin by a store's size (kAimLeast held in nearly all) made room: one margin.

Unit tests 66 pass; the new one fails without the change (100 of 100 pass).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -34,10 +34,10 @@
 constexpr double kFleetShift = 0.15;   // change of the fleet's size that makes old points void
 constexpr double kMeterLag = 1.5;      // metered periods; time whose use is not told yet
 constexpr double kPriorUse = 0.7;      // of the rate; what a customer not heard of is taken to use
-constexpr double kPrior = 0.15;        // tries at the plan's rate that this is worth as evidence
+constexpr double kStrangerUse = 4.0;   // more, the fewer come to each door: those that ask most come first
+constexpr double kPrior = 0.3;         // tries at the plan's rate that this is worth as evidence
 constexpr double kEvidence = 6.0;      // tries at the plan's rate; older readings give way to that many
-constexpr double kMargin = 2.4;        // of the rate; for a store of one try, by what surplus costs
-constexpr double kAimLeast = 0.3;      // of the rate; however small its store, a customer is never starved
+constexpr double kMargin = 0.85;       // of the rate; left unused, by what surplus costs
 constexpr double kBorrow = 1.0;        // tries that the dearest class may borrow; a store holds some
 constexpr double kRepeat = 3.0;        // tries that a client's repeat tells of beside itself
 constexpr double kUseFade = 12.0;      // s; readings are forgotten over this time
@@ -57,8 +57,8 @@
 constexpr double kPriorNews = 0.05;      // weight of one attempt in the fleet's failure figure
 constexpr double kWide = 0.2;            // fleet's failure figure from which trouble is everywhere: a queue
 constexpr double kPriorMost = 0.4;       // highest fleet figure: no server is suspect by it alone
-constexpr double kLatencyAge = 10.0;     // s; a server's latency fades to the fleet's over this time
 constexpr double kChance = 0.15;         // of a cost, by chance: what is known of a server is rough
+constexpr double kLatencyAge = 10.0;     // s; a server's latency fades to the fleet's over this time
 constexpr double kStrange = 2.0;         // s; after this time without an answer a server is not known
 constexpr int kDraws = 5;                // servers drawn for a choice
 constexpr double kCrossZone = 0.15;      // relative cost of a server in another zone
@@ -229,10 +229,9 @@
 
 // Pass shares. The design page multiplies the share by 100 / used each metered period, that is, the share
 // then in force x 100 / used. At a gateway with few tries of a customer a reading is rare and tells of few
-// tries, so readings are weighed as counts (Gamma-Poisson with a weak prior). They fill
-// and drain an estimate of the customer's one store; own sends stand in only for the time not metered yet.
-// While it lasts the share is one, a burst inside it being no surplus. Covers meters that repeat or fall
-// silent (what they told fades); harm: the first seconds of a flood through many gateways pass.
+// tries, so readings are weighed as counts (Gamma-Poisson with a weak prior). They fill and drain an
+// estimate of the customer's one store; own sends stand in only for the time not metered yet. Covers meters
+// that repeat or fall silent (what they told fades); harm: light customers of many doors come twice.
 class QuotaShares {
   public:
     void configure(double period, double start) { period_ = period, start_ = start; }
@@ -264,9 +263,7 @@
         const double wanted = std::max((demand(c, plan) + c.lately) / (1 + here), 1e-9);
         const double used = std::max(use(c, plan), c.doors * c.own / (plan.rate * lag));
         const double left = c.store + (1 - used) * lag - units / plan.rate;
-        const double fits = std::max(plan.burst / std::max(c.typical, 1e-6), 1.0);   // tries
-        const double cost = clamp(plan.over_cost - plan.over_worth, 0.0, 1.0);
-        const double aim = std::max(kAimLeast, 1 - kMargin * cost / std::sqrt(fits));
+        const double aim = 1 - kMargin * clamp(plan.over_cost - plan.over_worth, 0.0, 1.0);
         c.share = clamp((aim + (repeat ? 0.0 : std::max(0.0, left)) / lag) / wanted, 0.0, 1.0);
         c.asks += 1;
         c.lately += 1;
@@ -320,7 +317,9 @@
         // Doors carry uneven parts, so what comes through one is worth few tries; of few doors, more.
         const double worth = 1 + kEvidence / std::max(c.doors - 1, 0.1);
         const double part = worth / (worth + here + c.asks);
-        return (kPriorUse * kPrior + c.tries + part * c.asks) / (kPrior + c.exposure + part * here);
+        // Through many doors the light customers are rarely heard, so one that comes is likely a heavy one.
+        const double prior = kPriorUse + kStrangerUse * std::exp(-here * kUseFade / seen);
+        return (prior * kPrior + c.tries + part * c.asks) / (kPrior + c.exposure + part * here);
     }
     // What all gateways together send on of it.
     double use(const Customer& c, const Plan& plan) const {
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -165,6 +165,30 @@
     EXPECT_GE(sent, 22u) << "of 24 tries; the store holds 30";
 }
 
+// One customer asks once at each of its doors, none of which knows it: a share passes behind many doors,
+// all behind few, and of a class of more worth all in any case.
+TEST(SharesFleet, AStrangerBehindManyDoorsIsTakenToAskMuch) {
+    const auto passed = [](std::size_t doors, const std::string& cls) {
+        mp::Settings s = plain_settings();
+        s.plans = {{"plan", 0.8, 4}};
+        s.plans[0].over_cost = 0.8;
+        s.classes[0].worth = 2, s.classes[2].worth = 6;
+        s.meter_period_s = 2;
+        std::size_t sent = 0;
+        for (std::uint64_t door = 0; door < doors; ++door) {
+            Driver d(s, door + 1);
+            d.list({"a:1"});
+            d.ask("q", cls, 5, 1, 9, static_cast<double>(doors));
+            sent += d.sends.size();
+        }
+        return static_cast<double>(sent);
+    };
+    EXPECT_LT(passed(100, "read"), 0.6 * 100);
+    EXPECT_GT(passed(100, "read"), 0.25 * 100) << "it may be a light one, which comes again";
+    EXPECT_EQ(passed(100, "write"), 100);
+    EXPECT_EQ(passed(2, "read"), 2);
+}
+
 TEST(SharesFleet, RepeatsThroughManyDoorsPassLess) {
     const auto passed = [](bool repeat) {
         mp::Settings s = plain_settings();
