Let requests of more worth pass first where the fleet is pressed

Cause: Impl::pressed(): an even draw by the fraction, one kWaitTop for all. Now the fraction is kept by systematic sampling, as the pass shares are, and a request worth `dear` times the mean of what is asked borrows so much; the time that open work may wait goes with it too. As many pass in all. Room: load reports of kinds that this site does not have (rif, busy, q) were read and never came: out of the module.

The new test fails when `dear` is 1 (0.54 against 0.31).

--- a/include/slatejunction/gateway.hpp
+++ b/include/slatejunction/gateway.hpp
@@ -148,7 +148,7 @@
     bool ended = false;
     double quota_use = 0;         // 1 + percent of the rate used in the last metered period; 0: none
     double charged = 0;           // true units where they are settled afterwards; 0: none
-    std::vector<double> report;   // by Settings::report_fields, NaN where one is absent; may be empty
+    std::vector<double> report;   // by Settings::report_fields, NaN where absent; carried, not judged by
     double written_s =
         0;   // of its time, that the request itself took to be written; no latency of the server
     bool stale = false;   // broken at once on a connection kept from earlier: that may have ended meanwhile
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -44,7 +44,6 @@
 constexpr double kCustomerIdle = 60.0;   // s; then a customer is forgotten
 constexpr double kLatencyNews = 0.15;    // weight of one answer in a server's latency
 constexpr double kFleetNews = 0.02;      // weight of one answer in the fleet's mean latency
-constexpr double kReportAge = 0.4;       // s; a load report fades over this time
 constexpr double kSilence = 4.0;         // mean latencies without any answer before a server is suspect
 constexpr double kSilenceFloor = 0.3;    // aims; silence shorter than this proves nothing
 constexpr double kFailWeight = 0.5;      // of one failure; two soon after another make a server suspect
@@ -66,17 +65,20 @@
 constexpr double kRetryFirst = 2.0;      // further attempts that a new gateway has
 constexpr double kRetryTime = 10.0;      // s; further attempts not used are lost over this time
 constexpr double kColdSafety = 0.5;      // part of the stated cold budget that is used at most
-constexpr double kWaitTop = 0.35;        // aims; no new work while what is open would wait longer than this
-constexpr double kRateTime = 1.5;        // s; averaging of the rate of answers
-constexpr double kSeenLeast = 0.1;       // of a full average; less tells too little
-constexpr double kOpenLeast = 4.0;       // attempts a server, over all gateways, always allowed to be open
-constexpr double kOpenProof = 1.0;       // open attempts at one gateway; fewer prove no queue
-constexpr double kTellEvery = 5.0;       // s; between log lines
-constexpr double kRelisten = 0.5;        // s; before a failed subscription is asked for again
-constexpr double kTick = 0.05;           // s; upkeep
-constexpr double kStall = 0.2;           // s; a longer gap between events is this gateway's own
-constexpr double kSurplusStay = 0.2;     // aims; retry-after for surplus (clipped to what clients honour)
-constexpr double kPressedStay = 0.1;     // aims; retry-after while the back end is pressed
+constexpr double kWaitTop = 0.35;        // aims; no new work of mean worth while open work waits so long
+constexpr double kEaseLeast = 0.3;     // of kWaitTop; work of little worth waits behind that much at least
+constexpr double kDearFirst = 0.5;     // tries that one of mean worth may borrow of the fraction
+constexpr double kWorthNews = 0.05;    // weight of one request in the mean worth asked for
+constexpr double kRateTime = 1.5;      // s; averaging of the rate of answers
+constexpr double kSeenLeast = 0.1;     // of a full average; less tells too little
+constexpr double kOpenLeast = 4.0;     // attempts a server, over all gateways, always allowed to be open
+constexpr double kOpenProof = 1.0;     // open attempts at one gateway; fewer prove no queue
+constexpr double kTellEvery = 5.0;     // s; between log lines
+constexpr double kRelisten = 0.5;      // s; before a failed subscription is asked for again
+constexpr double kTick = 0.05;         // s; upkeep
+constexpr double kStall = 0.2;         // s; a longer gap between events is this gateway's own
+constexpr double kSurplusStay = 0.2;   // aims; retry-after for surplus (clipped to what clients honour)
+constexpr double kPressedStay = 0.1;   // aims; retry-after while the back end is pressed
 
 double sane(double value) { return std::isfinite(value) && value > 0 ? value : 0; }
 double clamp(double value, double low, double high) { return std::max(low, std::min(value, high)); }
@@ -118,8 +120,8 @@
     // What is open over the rate of answers tells the latency of the next request at once (Little's law,
     // the paper's equation 7). Should cover any loss of capacity and any flood; harm: after an idle spell
     // the rate is too low and some requests are refused that a short burst could have had served.
-    bool swamped(double open, double open_aims, double servers, double now) const {
-        return open > std::max(kOpenProof, kOpenLeast * servers) && open_aims > kWaitTop * rate(now);
+    bool swamped(double open, double open_aims, double servers, double ease, double now) const {
+        return open > std::max(kOpenProof, kOpenLeast * servers) && open_aims > ease * kWaitTop * rate(now);
     }
 
     void sample(double aims) {
@@ -371,7 +373,6 @@
     bool listed = true;
     int open = 0;
     double latency = 0, heard = -1e18;   // aims, averaged; last answer
-    double held = 0, held_at = -1e18;    // requests held for others, by the last report
     double silent_since = 0;
     Evidence failing;
     std::vector<Evidence> full;   // by kind of request
@@ -383,11 +384,6 @@
     void configure(const Settings* settings, std::size_t kinds) {
         settings_ = settings;
         full_.assign(kinds, 0);
-        const auto& names = settings->report_fields;
-        const auto place = [&](const char* name) {
-            return static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
-        };
-        rif_ = place("rif"), busy_ = place("busy"), q_ = place("q");
     }
 
     // Returns how much of the fleet changed.
@@ -515,22 +511,6 @@
                              [&](const Server* s) { return suspect(*s, now); });
     }
 
-    // What a server holds for others: told outright, or waiting, or served by Little's law, or by how busy.
-    void report(Server& s, const std::vector<double>& values, double now) {
-        const auto told = [&](std::size_t at) {
-            return at < values.size() && std::isfinite(values[at]) ? sane(values[at])
-                                                                   : -1.0;   // NaN: absent
-        };
-        const double rif = told(rif_), busy = told(busy_), q = told(q_);
-        double held = rif;
-        if (held < 0 && busy >= 0) held = std::min(1.0, busy) / std::max(0.05, 1 - busy);
-        if (q >= 0) held = std::max(held, 0.0) + (rif < 0 ? q : 0.0);
-        if (held < 0) return;
-        s.held = std::max(0.0, held - s.open);
-        s.held_at = now;
-        held_ += kLatencyNews * (s.held / s.weight - held_);
-    }
-
     double mean() const { return mean_; }
     // Of a part of the fleet; 0 is the whole.
     std::size_t usable(std::size_t part = 0) const {
@@ -607,8 +587,7 @@
 
     double cost(const Server& s, const Need& need, double now) const {
         // By unit of weight: the draw has favoured the larger already.
-        const double held = 1 + s.open / s.weight + held_ +
-                            (s.held / s.weight - held_) * std::exp(-(now - s.held_at) / kReportAge);
+        const double held = 1 + s.open / s.weight;
         const double pace = latency(s, now);
         const double quiet = s.open > 0 ? now - s.silent_since : 0;   // s, against aims: about one s each
         double score = held * (mean_ + pace + std::max(0.0, quiet - pace));
@@ -621,11 +600,9 @@
     std::vector<Part> parts_{1};
     std::array<Server*, 4> recent_{};
     std::size_t recent_at_ = 0;
-    std::size_t rif_ = 0, busy_ = 0, q_ = 0;   // their places in a report
     const Settings* settings_ = nullptr;
     double mean_ = 0.1;
-    double held_ = 0;   // by others, for each unit of weight
-    double bad_ = 0;    // share of attempts that fail, over the fleet
+    double bad_ = 0;   // share of attempts that fail, over the fleet
     std::vector<double> full_;
 };
 
@@ -730,8 +707,11 @@
         job.part = request.subset == 0 ? 0 : static_cast<std::size_t>(std::countr_zero(request.subset)) + 1;
         if (job.part >= lanes_.size()) lanes_.resize(job.part + 1);
         if (request.spill != Spill::never && servers_.usable(job.part) == 0) job.part = 0;
-        auto why = pressed(job.part);
-        if (why && job.part != 0 && request.spill == Spill::pressed) why = pressed(job.part = 0);
+        const double worth = sane(service->worth) * (plan->price > 0 ? plan->price : 1.0);
+        worth_ = worth_ > 0 ? worth_ + kWorthNews * (worth - worth_) : worth;
+        const double dear = worth_ > 0 ? worth / worth_ : 1.0;
+        auto why = pressed(job.part, dear);
+        if (why && job.part != 0 && request.spill == Spill::pressed) why = pressed(job.part = 0, dear);
         if (why) return refuse(*why, request, kPressedStay * service->aim_s);
 
         job.number = ++numbers_;
@@ -750,12 +730,18 @@
         jobs_.emplace(job.number, std::move(job));
     }
 
-    // What keeps a request out of a part of the fleet: its load, or what is open there.
-    std::optional<Reason> pressed(std::size_t part) {
-        const Lane& lane = lanes_[part];
-        if (random_.unit() >= lane.load.fraction()) return Reason::fraction;
+    // What keeps a request out of a part of the fleet: its load, or what is open there. The fraction is
+    // kept by systematic sampling, as shares are, so that a request worth `dear` of the mean goes first by
+    // so much, and as many pass in all. Covers a pressed fleet that all gateways fill with what earns
+    // least.
+    std::optional<Reason> pressed(std::size_t part, double dear) {
+        Lane& lane = lanes_[part];
+        lane.phase = lane.load.fraction() < 1 ? lane.phase + lane.load.fraction() : 1;
+        if (lane.phase < 1 - kDearFirst * dear) return Reason::fraction;
+        lane.phase -= 1;
         const double fleet = static_cast<double>(servers_.usable(part)) / std::max(1.0, balancers_);
-        if (lane.load.swamped(lane.open, lane.open_aims, fleet, now_)) return Reason::open_work;
+        if (lane.load.swamped(lane.open, lane.open_aims, fleet, std::max(dear, kEaseLeast), now_))
+            return Reason::open_work;
         return std::nullopt;
     }
 
@@ -853,7 +839,6 @@
         if (!attempt.silent) lanes_[attempt.part].opened(job->service->aim_s, -1);
         if (Server* s = servers_.find(attempt.server)) {
             --s->open;
-            servers_.report(*s, e.report, now_);
             const bool counts = servers_.counts(*s, now_);
             if (e.outcome == Outcome::ok) {
                 servers_.answered(*s, job->kind, aims, now_);
@@ -905,10 +890,7 @@
         if (job && !job->ended) job->streaming = true;
     }
 
-    void on(const ProbeEnd& p) {
-        Server* s = servers_.find(p.server);
-        if (s && p.outcome == Outcome::ok) servers_.report(*s, p.report, now_);
-    }
+    void on(const ProbeEnd&) {}   // none is asked for: reports tell of latency, which answers show
 
     void on(const ClientGone& g) {
         if (Job* job = find(g.id)) finish(*job);
@@ -990,6 +972,7 @@
         LoadController load;
         double open = 0, open_aims = 0;   // attempts out, and each over its class's aim
         double admitted = 1;              // as it was last said
+        double phase = 0;                 // of the fraction's draws
         bool due = false;
         void opened(double aim_s, int more) {
             open += more;
@@ -1013,6 +996,7 @@
     double retries_ = kRetryFirst;
     double retries_at_ = 0;
     double top_worth_ = 1e-9, balancers_ = 0;   // of the dearest class; gateways
+    double worth_ = 0;                          // mean of what is asked for, averaged
     bool started_ = false, started_clock_ = false;
 };
 
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -10,13 +10,16 @@
 
 // Asks 100 times a second; `latency` gives the answers' latency for the share admitted lately. Returns the
 // share admitted in the last part.
-double admitted(Driver& d, double seconds, const std::function<double(double)>& latency, double tail = 5) {
+double admitted(
+    Driver& d, double seconds, const std::function<double(double)>& latency, double tail = 5,
+    const std::function<const char*(int)>& cls = [](int) { return "read"; }) {
     static int id = 0;
     const double until = d.now + seconds;
     double lately = 1, asked = 0, sent = 0;
     while (d.now < until) {
         const std::size_t before = d.sends.size();
-        d.ask("l" + std::to_string(id++));
+        const std::string name = cls(id);
+        d.ask(name + std::to_string(id++), name);
         const double passed = d.sends.size() > before ? 1 : 0;
         lately += 0.02 * (passed - lately);
         if (until - d.now < tail) {
@@ -50,6 +53,24 @@
     EXPECT_LT(share, 0.85);
 }
 
+// One in five is worth three times the others: they pass first, and no more pass in all for it.
+TEST(LoadWorth, UnderLoadWhatIsWorthMorePassesFirst) {
+    mp::Settings s = plain_settings();
+    s.classes[0].worth = 2, s.classes[2].worth = 6;
+    Driver d(s);
+    d.list({"a:1", "b:1", "c:1", "d:1"});
+    const double share = admitted(
+        d, 60, [](double f) { return 0.1 + 1.2 * f * f; }, 30,
+        [](int id) { return id % 5 == 0 ? "write" : "read"; });
+    EXPECT_GT(share, 0.3);
+    EXPECT_LT(share, 0.85);
+    const auto dear = static_cast<double>(std::count_if(
+        d.refused.begin(), d.refused.end(), [](const std::string& id) { return id[0] == 'w'; }));
+    const double cheap = static_cast<double>(d.refused.size()) - dear;
+    EXPECT_GT(cheap, 500) << "of 4800";
+    EXPECT_LT(dear / 1200, 0.5 * cheap / 4800);
+}
+
 TEST_F(Load, FallsToTheFloorAndNoFurtherUnderLastingOverload) {
     const double share = admitted(
         d, 60, [](double) { return 1.5; }, 20);
