Take a plan's price that is not finite as none when requests are weighed by worth

Need: settings that are not finite mean a stated safe value. An infinite price made the mean worth infinite and the weight not a number, so that open work was bounded no more.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -707,7 +707,7 @@
         job.part = request.subset == 0 ? 0 : static_cast<std::size_t>(std::countr_zero(request.subset)) + 1;
         if (job.part >= lanes_.size()) lanes_.resize(job.part + 1);
         if (request.spill != Spill::never && servers_.usable(job.part) == 0) job.part = 0;
-        const double worth = sane(service->worth) * (plan->price > 0 ? plan->price : 1.0);
+        const double worth = sane(service->worth) * (sane(plan->price) > 0 ? plan->price : 1.0);
         worth_ = worth_ > 0 ? worth_ + kWorthNews * (worth - worth_) : worth;
         const double dear = worth_ > 0 ? worth / worth_ : 1.0;
         auto why = pressed(job.part, dear);
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -71,6 +71,21 @@
     EXPECT_LT(dear / 1200, 0.5 * cheap / 4800);
 }
 
+TEST(LoadWorth, APriceThatIsNotFiniteCountsAsNone) {
+    for (const double price : {-1.0, std::nan(""), HUGE_VAL}) {
+        mp::Settings s = plain_settings();
+        s.classes[0].worth = 2;
+        s.plans[0].price = price;
+        Driver d(s);
+        d.list({"a:1", "b:1", "c:1", "d:1"});
+        admitted(d, 5, [](double) { return 0.1; });
+        const std::size_t before = d.sends.size();
+        for (int i = 0; i < 300; ++i) d.ask("f" + std::to_string(i));   // at once
+        EXPECT_LE(d.sends.size() - before, 100u) << price;
+        EXPECT_GE(d.sends.size() - before, 20u) << price;
+    }
+}
+
 TEST_F(Load, FallsToTheFloorAndNoFurtherUnderLastingOverload) {
     const double share = admitted(
         d, 60, [](double) { return 1.5; }, 20);
