Draw pass shares and the admitted fraction by one sampler; one test for both bad servers

Read again: QuotaShares::draw() and Impl::pressed() each spelled the systematic draw (add the share, pass at one less what may be borrowed, take one off). Now sampled() serves both. pressed() sets its phase to none owed at a full fraction, as before. The two health tests differed in the bad answer and one bound only: one function, the same assertions and bounds. Two comments were stale: choose() spoke of reports that are gone, swamped() did not say what `ease` is.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -98,6 +98,15 @@
     std::uint64_t state_;
 };
 
+// Passes a `share` of what comes, by systematic sampling: the shares add up, and each whole one passes one,
+// which may borrow that much from later draws. What passes is spread evenly, single draws come in runs.
+bool sampled(double& phase, double share, double borrow) {
+    phase += share;
+    if (phase < 1 - borrow) return false;
+    phase -= 1;
+    return true;
+}
+
 // The paper's Load-Adaptive Controller (section V.B): equation 10 with a low-passed proportional term, a
 // static integral gain and anti-windup. One reference serves all classes, as latencies count in aims.
 class LoadController {
@@ -119,7 +128,8 @@
     // Finished attempts tell of a queue when it has long been built, so that the fraction alone swings.
     // What is open over the rate of answers tells the latency of the next request at once (Little's law,
     // the paper's equation 7). Should cover any loss of capacity and any flood; harm: after an idle spell
-    // the rate is too low and some requests are refused that a short burst could have had served.
+    // the rate is too low and some requests are refused that a short burst could have had served. `ease`:
+    // how much longer than one of mean worth the request may wait.
     bool swamped(double open, double open_aims, double servers, double ease, double now) const {
         return open > std::max(kOpenProof, kOpenLeast * servers) && open_aims > ease * kWaitTop * rate(now);
     }
@@ -274,17 +284,13 @@
 
     void sent(Customer& c, double units) { c.own += units; }
 
-    // Passes with chance `share`, by systematic sampling: from a random start the shares add up, and each
-    // whole one passes a try. What passes is then spread evenly, where single draws would come in runs that
-    // the store does not hold. Covers long surplus through several doors; harm: none known, as starts
-    // differ. All tries count alike against a quota, so a class of more worth (here over the dearest one's)
-    // may borrow from later draws: of a surplus the dear tries pass first, and as many in all.
+    // Passes with chance `share`, from a random start, as runs of single draws are more than the store
+    // holds. Covers long surplus through several doors; harm: none known, as starts differ. All tries count
+    // alike against a quota, so a class of more worth (here over the dearest one's) may borrow from later
+    // draws: of a surplus the dear tries pass first, and as many in all.
     bool draw(Customer& c, double share, double worth, Random& random) {
         if (!c.drawn) c.drawn = true, c.phase = random.unit();
-        c.phase += share;
-        if (c.phase < 1 - kBorrow * worth) return false;
-        c.phase -= 1;
-        return true;
+        return sampled(c.phase, share, kBorrow * worth);
     }
 
     // Answers repeat a period's figure: it is applied once, when it changes or a period has passed.
@@ -431,8 +437,8 @@
         std::size_t part = 0;
     };
 
-    // A few servers drawn by weight, which keeps many gateways from herding on late reports; where this one
-    // has not heard of them lately, those that answered it last as well. The lowest cost wins.
+    // A few servers drawn by weight, which keeps many gateways from herding on what they learn late; where
+    // this one has not heard of them lately, those that answered it last as well. The lowest cost wins.
     Server* choose(const Need& need, double now, Random& random) {
         if (usable(need.part) == 0) return nullptr;
         const Part& part = parts_[need.part];
@@ -731,14 +737,12 @@
     }
 
     // What keeps a request out of a part of the fleet: its load, or what is open there. The fraction is
-    // kept by systematic sampling, as shares are, so that a request worth `dear` of the mean goes first by
-    // so much, and as many pass in all. Covers a pressed fleet that all gateways fill with what earns
-    // least.
+    // sampled as shares are: a request worth `dear` of the mean goes first by so much, and as many pass in
+    // all. Covers a pressed fleet that all gateways fill with what earns least.
     std::optional<Reason> pressed(std::size_t part, double dear) {
         Lane& lane = lanes_[part];
-        lane.phase = lane.load.fraction() < 1 ? lane.phase + lane.load.fraction() : 1;
-        if (lane.phase < 1 - kDearFirst * dear) return Reason::fraction;
-        lane.phase -= 1;
+        if (lane.load.fraction() >= 1) lane.phase = 0;   // nothing is owed once all may pass
+        if (!sampled(lane.phase, lane.load.fraction(), kDearFirst * dear)) return Reason::fraction;
         const double fleet = static_cast<double>(servers_.usable(part)) / std::max(1.0, balancers_);
         if (lane.load.swamped(lane.open, lane.open_aims, fleet, std::max(dear, kEaseLeast), now_))
             return Reason::open_work;
--- a/tests/health_test.cpp
+++ b/tests/health_test.cpp
@@ -37,40 +37,30 @@
 const Answer kGood{mp::Outcome::ok, 0.1};
 const std::vector<std::string> kFive{"a:1", "b:1", "c:1", "d:1", "e:1"};
 
-TEST(Health, AServerThatFailsFastLosesItsTrafficAndGetsItBack) {
-    std::size_t back = 0;   // summed over seeds, as how soon it is tried again is left to chance
+// One of five answers as `sick` says for 10 s: it may get `most` of 400 requests then, and is used again
+// after. Summed over seeds, as how soon it is tried again is left to chance.
+void loses_and_gets_back(const Answer& sick, std::size_t most) {
+    std::size_t back = 0;
     for (std::uint64_t seed = 1; seed <= 8; ++seed) {
         Driver d(plain_settings(), seed);
         d.list(kFive);
         play(d, 3, 40, [](const auto&) { return kGood; });
         const std::size_t before = d.sent_to("a:1");
-        play(d, 10, 40, [](const auto& s) {
-            return s == "a:1" ? Answer{mp::Outcome::error, 0.01} : kGood;
-        });
-        EXPECT_LE(d.sent_to("a:1") - before, 20u) << "of 400, a fifth would be 80";
-        const std::size_t sick = d.sent_to("a:1");
+        play(d, 10, 40, [&](const auto& s) { return s == "a:1" ? sick : kGood; });
+        EXPECT_LE(d.sent_to("a:1") - before, most) << "of 400, a fifth would be 80";
+        const std::size_t bad = d.sent_to("a:1");
         play(d, 30, 40, [](const auto&) { return kGood; });
-        back += d.sent_to("a:1") - sick;
+        back += d.sent_to("a:1") - bad;
     }
     EXPECT_GE(back, 8 * 100u) << "of 8 * 1200";
 }
 
-TEST(Health, ASilentServerLosesItsTrafficAndGetsItBack) {
-    std::size_t back = 0;   // summed over seeds, as how soon it is tried again is left to chance
-    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
-        Driver d(plain_settings(), seed);
-        d.list(kFive);
-        play(d, 3, 40, [](const auto&) { return kGood; });
-        const std::size_t before = d.sent_to("a:1");
-        play(d, 10, 40, [](const auto& s) { return s == "a:1" ? Answer{mp::Outcome::ok, -1} : kGood; });
-        EXPECT_LE(d.sent_to("a:1") - before, 25u) << "of 400, a fifth would be 80";
-        const std::size_t sick = d.sent_to("a:1");
-        play(d, 30, 40, [](const auto&) { return kGood; });
-        back += d.sent_to("a:1") - sick;
-    }
-    EXPECT_GE(back, 8 * 100u) << "of 8 * 1200";
+TEST(Health, AServerThatFailsFastLosesItsTrafficAndGetsItBack) {
+    loses_and_gets_back({mp::Outcome::error, 0.01}, 20);
 }
 
+TEST(Health, ASilentServerLosesItsTrafficAndGetsItBack) { loses_and_gets_back({mp::Outcome::ok, -1}, 25); }
+
 TEST(Health, ASlowServerGetsLess) {
     Driver d(plain_settings());
     d.list(kFive);
