--- a/src/app/fleet_part.cpp
+++ b/src/app/fleet_part.cpp
@@ -4,15 +4,17 @@
 #include <rapidjson/writer.h>
 
 #include <chrono>
-#include <ctime>
+#include <cmath>
 #include <random>
 #include <stdexcept>
 
 #include "lease.pb.h"
+#include "lease/clock.hpp"
 
 namespace slatejunction::app {
 namespace {
 
+using lease::boot_s;
 using Json = rapidjson::Writer<rapidjson::StringBuffer>;
 
 constexpr double kQuorum = 3;   // times a grant's life in which a majority must have answered
@@ -37,6 +39,19 @@
     return keys;
 }
 
+sums::Values sums_of(const metrics::Measures& measures) {
+    using metrics::Id;
+    sums::Values values{};
+    for (std::size_t ending = 0; ending < metrics::kEndings.size(); ++ending)
+        values[sums::served + ending] =
+            static_cast<std::uint64_t>(measures.sum(Id::requests, metrics::kEndings.size(), ending));
+    values[sums::worth_offered] =
+        static_cast<std::uint64_t>(std::llround(measures.sum(Id::worth_offered) * sums::kWorthScale));
+    values[sums::worth_served] =
+        static_cast<std::uint64_t>(std::llround(measures.sum(Id::worth_served) * sums::kWorthScale));
+    return values;
+}
+
 void text(Json& json, const char* key, const std::string& value) {
     json.Key(key);
     json.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
@@ -44,20 +59,16 @@
 
 }   // namespace
 
-double boot_s() {
-    timespec at{};
-    clock_gettime(CLOCK_BOOTTIME, &at);
-    return static_cast<double>(at.tv_sec) + 1e-9 * static_cast<double>(at.tv_nsec);
-}
-
 FleetPart::FleetPart(const operating::Options& options, const config::Config& config,
-                     ingress::Ingress& ingress, net::Timers& timers, Log& log)
+                     ingress::Ingress& ingress, const telemetry::Telemetry* telemetry, net::Timers& timers,
+                     Log& log)
     : options_(options),
       name_(config.name),
       ingress_(ingress),
       log_(log),
       peers_(peers::settings_of(options.peers, config.name, config.settings.zone, SLATEJUNCTION_VERSION),
              keys_of(options), draw_process(), config.seed, timers, log),
+      telemetry_(telemetry),
       timer_(timers, [this] { wake(); }) {
     ingress_.join(static_cast<ingress::CallTaker&>(*this));
     ingress_.join(static_cast<ingress::Inheritor&>(*this));
@@ -84,20 +95,109 @@
     if (!options.lease.announce_url.empty())
         announce_ = std::make_unique<lease::Announce>(
             options.lease.announce_url, options.lease.announce_every_s, config.name,
-            options.lease.times.act_s,
-            [this](lease::Permit& permit) { return leases_->permit(boot_s(), kConductor, permit); }, timers,
-            log);
+            options.lease.times.act_s, [this](lease::Permit& permit) { return may_conduct(permit); },
+            timers, log);
+    if (votes) {
+        if (!options.metrics.directory.empty())
+            notes_home_ = std::make_unique<lease::NotesHome>(options.metrics.directory);
+        const auto* const kept = notes_home_ ? notes_home_->kept() : nullptr;
+        notes_ =
+            std::make_unique<lease::NoteKeeper>(kept != nullptr, kept ? *kept : lease::NoteKeeper::All{});
+        if (notes_home_ && !notes_home_->broken().empty())
+            log_.write(Log::Level::error, net::now(), "lease: a broken file was put aside as %s",
+                       notes_home_->broken().c_str());
+    }
+    peers_.listen(peers::Channel::notes,
+                  [this](const peers::Heard& heard) { hear_note(heard.from, heard.body); });
+    if (options.sums.on()) make_sums(config, timers);
     for (const std::string& line : lease::stated(options.lease))
         log_.write(Log::Level::info, net::now(), "%s", line.c_str());
 }
 
+void FleetPart::make_sums(const config::Config& config, net::Timers& timers) {
+    sums::Driver::Ways ways;
+    ways.values = [this, before = sums_of(telemetry_->measures())] {
+        auto now = sums_of(telemetry_->measures());
+        for (std::size_t i = 0; i < now.size(); ++i)
+            now[i] -= before[i];   // what an earlier process counted
+        return now;
+    };
+    ways.holder = [this] { return conductor(); };
+    ways.permit = [this] {
+        lease::Permit permit;
+        return may_conduct(permit);
+    };
+    ways.tell = [this](const std::string& to, const std::string& body) {
+        peers_.send(to, peers::Channel::sums, body);
+    };
+    ways.note = [this](const std::string& to, const std::string& body) {
+        if (to != name_) return void(peers_.send(to, peers::Channel::notes, body));
+        lease::NoteMessage message, answer;
+        if (lease::read(body, message) && keep_note(message, answer)) sums_->hear_note(name_, answer);
+    };
+    sums_ = std::make_unique<sums::Driver>(options_.sums, options_.remote_write, name_, peers_.process(),
+                                           options_.lease.times, leases_->settings().voters, config.seed,
+                                           SLATEJUNCTION_VERSION, std::move(ways), timers, log_);
+    peers_.listen(peers::Channel::sums,
+                  [this](const peers::Heard& heard) { sums_->hear(heard.from, heard.body); });
+    log_.write(Log::Level::info, net::now(), "%s",
+               sums::stated(options_.sums, options_.lease.times).c_str());
+}
+
 void FleetPart::start() {
     peers_.start();
     if (!leases_) return;
     leases_->seek(boot_s(), kConductor);
+    if (sums_) sums_->start();
     pump();
 }
 
+bool FleetPart::may_conduct(lease::Permit& permit) const {
+    return leases_ && leases_->permit(boot_s(), kConductor, permit);
+}
+
+void FleetPart::send_all(peers::Channel channel, std::string_view body) {
+    for (const peers::Member& one : peers_.members().list())
+        if (one.name != name_ && one.state != peers::State::left) peers_.send(one.name, channel, body);
+}
+
+std::string FleetPart::conductor() const {
+    if (!leases_) return {};
+    for (const lease::View& one : leases_->views())
+        if (one.lease == kConductor) return one.state == lease::Seeker::State::held ? name_ : one.other;
+    return {};
+}
+
+// Notes. ----------------------------------------------------------------------------------------------
+
+// While the voter waits for what it may have granted, it keeps and tells none either.
+bool FleetPart::keep_note(const lease::NoteMessage& message, lease::NoteMessage& answer) {
+    const lease::Voter* const voter = leases_->voter();
+    if (left_ || !notes_ || !voter || !voter->takes_part(boot_s())) return false;
+    if (message.step < voter->step() || !notes_->receive(message, answer)) return false;
+    answer.step = voter->step();
+    if (!notes_home_ || notes_->changes() == notes_kept_) return true;
+    if (!notes_home_->keep(notes_->kept())) {
+        if (!std::exchange(told_not_kept_, true))
+            log_.write(Log::Level::error, net::now(), "lease: a voter's note can't be written: %s",
+                       notes_home_->why().c_str());
+        return false;
+    }
+    notes_kept_ = notes_->changes();
+    return true;
+}
+
+void FleetPart::hear_note(const std::string& from, std::string_view body) {
+    using Kind = lease::NoteMessage::Kind;
+    lease::NoteMessage message, answer;
+    if (!lease::read(body, message)) return;
+    if (message.kind != Kind::read && message.kind != Kind::write) {
+        if (sums_) sums_->hear_note(from, message);
+        return;
+    }
+    if (keep_note(message, answer)) peers_.send(from, peers::Channel::notes, lease::write(answer));
+}
+
 void FleetPart::stop(std::function<void()> done) {
     on_leaves();
     log_.event("ended", {});
@@ -107,7 +207,9 @@
 // Whatever is held ends now, told to the voters, but for a drain's slot: the process is gone until it is
 // started again, and the slot lapses by itself.
 void FleetPart::on_leaves() {
-    if (std::exchange(left_, true)) return;
+    if (left_) return;
+    if (sums_) sums_->stop();
+    left_ = true;
     if (announce_) announce_->on(false);
     if (leases_) {
         leases_->release(boot_s(), kConductor);
@@ -121,6 +223,7 @@
 std::string FleetPart::give() {
     if (!leases_ || left_) return {};
     if (announce_) announce_->on(false);
+    if (sums_) sums_->stop();
     lease::wire::Holds all;
     for (const auto& hold : leases_->give(boot_s())) {
         lease::wire::Hold& one = *all.add_hold();
@@ -132,8 +235,10 @@
         one.set_since(hold.since);
     }
     const lease::Voter* const voter = leases_->voter();
-    if (voter && voter->takes_part(boot_s()))
+    if (voter && voter->takes_part(boot_s())) {
         lease::write({voter->step(), voter->grants()}, *all.mutable_voter());
+        if (notes_ && notes_->remembers()) lease::write(notes_->kept(), *all.mutable_notes());
+    }
     on_leaves();
     return all.SerializeAsString();
 }
@@ -150,6 +255,7 @@
         }
     }
     if (all.has_voter()) leases_->remember(boot_s(), lease::read(all.voter()));
+    if (all.has_notes() && notes_) notes_->remember(lease::read(all.notes()));
     leases_->adopt(boot_s(), holds);
     pump();
 }
@@ -194,6 +300,9 @@
     log_.event(what, fields);
     if (change.lease == kConductor && announce_ && change.what != What::renumbered)
         announce_->on(change.what != What::lost);
+    if (change.lease == kConductor && change.what != What::renumbered)
+        for (const auto& call : conducts_) call(change.what != What::lost);
+    if (change.lease == kConductor && sums_) sums_->on_held(change.what == What::lost ? 0 : change.number);
     if (change.lease == drain_lease() && change.what == What::gained) slot_gained();
     if (change.lease == drain_lease() && change.what == What::lost) slot_lost();
 }
@@ -351,6 +460,7 @@
     options_.peers.via = fresh.peers.via;
     if (leases_ && fresh.lease.on()) {
         leases_->set_voters(boot_s(), lease::settings_of(fresh.lease, name_).voters);
+        if (sums_) sums_->set_voters(leases_->settings().voters);
         options_.lease.voters = fresh.lease.voters;
         options_.lease.before = fresh.lease.before;
         options_.lease.step = fresh.lease.step;
--- a/src/app/fleet_part.hpp
+++ b/src/app/fleet_part.hpp
@@ -10,19 +10,23 @@
 #include "app/part.hpp"
 #include "ingress/ingress.hpp"
 #include "lease/announce.hpp"
+#include "lease/fleet.hpp"
 #include "lease/home.hpp"
 #include "lease/room.hpp"
 #include "log/log.hpp"
 #include "peers/driver.hpp"
+#include "sums/driver.hpp"
+#include "telemetry/telemetry.hpp"
 
 namespace slatejunction::app {
 
-class FleetPart final : public Part, ingress::CallTaker, ingress::Inheritor {
+class FleetPart final : public Part, public lease::Fleet, ingress::CallTaker, ingress::Inheritor {
   public:
     // The options have been checked. Throws std::runtime_error for a key file or state directory that can't
     // be used.
+    // `telemetry` counts what the fleet's sums are made of; null: there are none.
     FleetPart(const operating::Options& options, const config::Config& config, ingress::Ingress& ingress,
-              net::Timers& timers, Log& log);
+              const telemetry::Telemetry* telemetry, net::Timers& timers, Log& log);
 
     const char* name() const override { return "peers"; }
     void start() override;
@@ -30,6 +34,17 @@
     void prepare(const operating::Options& fresh, config::Config& config) override;
     std::string take(const operating::Options& fresh) override;
 
+    bool may_conduct(lease::Permit& permit) const override;
+    std::string conductor() const override;
+    void on_conducts(std::function<void(bool)> call) override { conducts_.push_back(std::move(call)); }
+    bool send(const std::string& to, peers::Channel channel, std::string_view body) override {
+        return peers_.send(to, channel, body);
+    }
+    void send_all(peers::Channel channel, std::string_view body) override;
+    void listen(peers::Channel channel, peers::Driver::Listener listener) override {
+        peers_.listen(channel, std::move(listener));
+    }
+
     static constexpr const char* kConductor = "conductor";
 
   private:
@@ -40,6 +55,10 @@
     void wake();
     void pump();
     void changed(const lease::Change& change);
+    void hear_note(const std::string& from, std::string_view body);
+    // What the voter here says to it; false: nothing.
+    bool keep_note(const lease::NoteMessage& message, lease::NoteMessage& answer);
+    void make_sums(const config::Config& config, net::Timers& timers);
     void slot_gained();
     void slot_lost();
     std::string describe() const;   // JSON
@@ -54,11 +73,14 @@
     std::unique_ptr<lease::FileHome> home_;
     std::unique_ptr<lease::Room> leases_;   // null: off
     std::unique_ptr<lease::Announce> announce_;
+    std::unique_ptr<lease::NoteKeeper> notes_;   // null: this one does not vote
+    std::unique_ptr<lease::NotesHome> notes_home_;
+    std::uint64_t notes_kept_ = 0;   // changes that the home has
+    const telemetry::Telemetry* const telemetry_;
+    std::unique_ptr<sums::Driver> sums_;
+    std::vector<std::function<void(bool)>> conducts_;
     net::Timer timer_;
     bool pumping_ = false, draining_ = false, drained_ = false, left_ = false, told_not_kept_ = false;
 };
 
-// s; goes on while the machine sleeps, and in step for all processes of one machine.
-double boot_s();
-
 }   // namespace slatejunction::app
--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -1,6 +1,5 @@
 #include "app/program.hpp"
 
-#include <glib-unix.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
@@ -48,6 +47,7 @@
         }
         if (options.lease.on())
             for (auto& line : lease::stated(options.lease)) lines.push_back(line);
+        if (options.sums.on()) lines.push_back(sums::stated(options.sums, options.lease.times));
         if (!options.quota.on()) return;
         quotas = quota::settings_of(options.quota, config.settings, fault);
         if (!fault.empty()) throw std::runtime_error(files.options + ": [quota] " + fault);
@@ -84,7 +84,7 @@
     void stop_parts(std::size_t left);
     void reload();
     void take(const operating::Options& fresh);
-    static gboolean on_signal(gint fd, GIOCondition, gpointer self);
+    void on_signal(int fd);
 
     const Files& files_;
     const sigset_t signals_;
@@ -112,11 +112,16 @@
     if (!files_.options.empty())   // rules may come with a reload
         parts_.push_back(
             std::make_unique<RulesPart>(options, config, *ingress_, telemetry_.get(), timers_, *log_));
-    if (options.peers.on())
-        parts_.push_back(std::make_unique<FleetPart>(options, config, *ingress_, timers_, *log_));
+    lease::Fleet* fleet = nullptr;
+    if (options.peers.on()) {
+        auto part =
+            std::make_unique<FleetPart>(options, config, *ingress_, telemetry_.get(), timers_, *log_);
+        if (options.lease.on()) fleet = part.get();
+        parts_.push_back(std::move(part));
+    }
     if (options.quota.on())
-        parts_.push_back(
-            std::make_unique<QuotaPart>(options, promised.quotas, config, *ingress_, timers_, *log_));
+        parts_.push_back(std::make_unique<QuotaPart>(options, promised.quotas, config, *ingress_, fleet,
+                                                     timers_, *log_));
 }
 
 // The last one first: what it still has to say goes through those before it.
@@ -169,15 +174,13 @@
         log_->write(Log::Level::info, net::now(), "reloaded: after the next start: %s", later.c_str());
 }
 
-gboolean Program::on_signal(gint fd, GIOCondition, gpointer data) {
-    auto& self = *static_cast<Program*>(data);
+void Program::on_signal(int fd) {
     signalfd_siginfo info;
-    if (read(fd, &info, sizeof info) != sizeof info) return G_SOURCE_CONTINUE;
+    if (read(fd, &info, sizeof info) != sizeof info) return;
     if (info.ssi_signo == SIGHUP)
-        self.reload();
+        reload();
     else
-        self.ingress_->stop();
-    return G_SOURCE_CONTINUE;
+        ingress_->stop();
 }
 
 int Program::run() {
@@ -186,9 +189,7 @@
     log_ = std::make_unique<Log>(options.log);
     make(options);
     const store::File signals(signalfd(-1, &signals_, SFD_CLOEXEC | SFD_NONBLOCK));
-    const net::Source source(g_unix_fd_source_new(signals.get(), G_IO_IN));
-    g_source_set_callback(source.get(), G_SOURCE_FUNC(&Program::on_signal), this, nullptr);
-    net::attach(source.get());
+    const net::Watch watch(timers_, signals.get(), [this, fd = signals.get()] { on_signal(fd); });
     std::string why;
     if (!ingress_->start(why)) return fail(why);
     for (std::size_t i = parts_.size(); i-- > 0;) parts_[i]->start();
--- a/src/app/quota_part.cpp
+++ b/src/app/quota_part.cpp
@@ -12,11 +12,28 @@
 }   // namespace
 
 QuotaPart::QuotaPart(const operating::Options& options, const quota::Settings& settings,
-                     const config::Config& config, ingress::Ingress& ingress, net::Timers& timers, Log& log)
+                     const config::Config& config, ingress::Ingress& ingress, lease::Fleet* fleet,
+                     net::Timers& timers, Log& log)
     : plans_(config.settings.plans), driver_(options.quota, settings, config.seed, timers, log) {
     ingress.join(static_cast<ingress::Judge&>(*this));
     for (const std::string& line : quota::stated(settings))
         log.write(Log::Level::info, net::now(), "%s", line.c_str());
+    if (!fleet) return;
+    quota::Driver::Ways ways;
+    ways.permit = [fleet] {
+        lease::Permit permit;
+        return fleet->may_conduct(permit);
+    };
+    ways.say = [fleet](bool all, const std::string& body) {
+        if (all)
+            fleet->send_all(peers::Channel::sentinel, body);
+        else if (const std::string to = fleet->conductor(); !to.empty())
+            fleet->send(to, peers::Channel::sentinel, body);
+    };
+    driver_.with_fleet(std::move(ways));
+    fleet->listen(peers::Channel::sentinel,
+                  [this](const peers::Heard& heard) { driver_.hear(heard.body); });
+    fleet->on_conducts([this](bool on) { driver_.on_conducts(on); });
 }
 
 void QuotaPart::prepare(const operating::Options&, config::Config& config) {
--- a/src/app/quota_part.hpp
+++ b/src/app/quota_part.hpp
@@ -3,6 +3,7 @@
 
 #include "app/part.hpp"
 #include "ingress/ingress.hpp"
+#include "lease/fleet.hpp"
 #include "quota/driver.hpp"
 
 namespace slatejunction::app {
@@ -10,8 +11,10 @@
 class QuotaPart final : public Part, ingress::Judge {
   public:
     // `settings` as quota::settings_of() made them, without a fault; `config` is told without quotas.
+    // `fleet`: null where there are no leases; then each ingress has its own check of the counter only.
     QuotaPart(const operating::Options& options, const quota::Settings& settings,
-              const config::Config& config, ingress::Ingress& ingress, net::Timers& timers, Log& log);
+              const config::Config& config, ingress::Ingress& ingress, lease::Fleet* fleet,
+              net::Timers& timers, Log& log);
 
     const char* name() const override { return "quota"; }
     void start() override { driver_.start(); }
--- /dev/null
+++ b/src/lease/fleet.hpp
@@ -0,0 +1,30 @@
+// What the fleet's floor offers to those that do something together with other ingresses: words between
+// them, and the one conductor's lease. Implemented where peers and leases are (src/app), handed to whoever
+// needs it; who is given none is alone.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "lease/room.hpp"
+#include "peers/driver.hpp"
+
+namespace slatejunction::lease {
+
+class Fleet {
+  public:
+    virtual ~Fleet() = default;
+    // To be asked right before each act of the conductor's. False: it must not be begun.
+    virtual bool may_conduct(Permit& permit) const = 0;
+    virtual std::string conductor() const = 0;   // by name, as far as is known here; empty: nobody
+    virtual void on_conducts(
+        std::function<void(bool)> call) = 0;   // this one does from now on, or no longer
+    // Datagrams: lost, doubled or late ones are the caller's to bear. False: it was not sent.
+    virtual bool send(const std::string& to, peers::Channel channel, std::string_view body) = 0;
+    virtual void send_all(peers::Channel channel, std::string_view body) = 0;
+    virtual void listen(peers::Channel channel, peers::Driver::Listener listener) = 0;
+};
+
+}   // namespace slatejunction::lease
--- a/src/lease/home.cpp
+++ b/src/lease/home.cpp
@@ -1,22 +1,25 @@
 #include "lease/home.hpp"
 
-#include <fcntl.h>
-#include <unistd.h>
-
-#include <cerrno>
-#include <cstdio>
-#include <cstring>
-#include <fstream>
-#include <iterator>
-
 #include "lease.pb.h"
 #include "store/store.hpp"
 
 namespace slatejunction::lease {
 namespace {
 
-constexpr char kMagic[] = "sjlease1";   // and version
-constexpr std::size_t kHead = 8 + 8;    // magic, check
+constexpr char kMagic[] = "sjlease1", kNotesMagic[] = "sjnotes1";   // and version
+constexpr char kFile[] = "leases", kNotesFile[] = "notes";
+
+// What the file holds; nothing where there is none or it is broken.
+template <class Wire>
+std::optional<Wire> take(const std::string& directory, const char* file, const char* magic,
+                         std::string& broken) {
+    const auto body = store::take_whole(directory, file, magic, broken);
+    Wire all;
+    if (!body) return {};
+    if (all.ParseFromString(*body)) return all;
+    broken = store::set_aside(directory + "/" + file);
+    return {};
+}
 
 }   // namespace
 
@@ -42,43 +45,43 @@
     return memory;
 }
 
-FileHome::FileHome(const std::string& directory) : directory_(directory), path_(directory + "/leases") {
-    std::ifstream in(path_, std::ios::binary);
-    if (!in) {
-        if (::access(path_.c_str(), F_OK) == 0) throw store::Error(path_ + " can't be read");
-        return;
+void write(const NoteKeeper::All& kept, wire::Notes& out) {
+    for (const auto& [name, one] : kept) {
+        wire::NoteKept& to = *out.add_kept();
+        to.set_name(name);
+        to.set_promised(one.promised);
+        to.set_number(one.note.number);
+        to.set_sequence(one.note.sequence);
+        to.set_text(one.note.text);
     }
-    const std::string bytes((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
-    std::uint64_t check = 0;
-    wire::Memory read;
-    if (bytes.size() >= kHead) std::memcpy(&check, bytes.data() + 8, 8);
-    if (bytes.size() < kHead || std::memcmp(bytes.data(), kMagic, 8) != 0 ||
-        check != store::check_of(bytes.data() + kHead, bytes.size() - kHead) ||
-        !read.ParseFromArray(bytes.data() + kHead, static_cast<int>(bytes.size() - kHead))) {
-        broken_ = store::set_aside(path_);
-        return;
-    }
-    memory_ = lease::read(read);
+}
+
+NoteKeeper::All read(const wire::Notes& in) {
+    NoteKeeper::All all;
+    for (const wire::NoteKept& one : in.kept())
+        all[one.name()] = {one.promised(), {one.number(), one.sequence(), one.text()}};
+    return all;
+}
+
+FileHome::FileHome(const std::string& directory) : directory_(directory) {
+    if (const auto all = take<wire::Memory>(directory, kFile, kMagic, broken_)) memory_ = lease::read(*all);
 }
 
 bool FileHome::keep(std::uint32_t step, const std::map<std::string, Grant>& grants) {
     wire::Memory all;
     write({step, grants}, all);
-    const std::string body = all.SerializeAsString();
-    std::string bytes(kMagic, 8);
-    const std::uint64_t check = store::check_of(body.data(), body.size());
-    bytes.append(reinterpret_cast<const char*>(&check), 8);
-    bytes += body;
-    const std::string fresh = path_ + "~";
-    const store::File file(::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
-    const store::File folder(::open(directory_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
-    const bool good =
-        file && folder &&
-        ::write(file.get(), bytes.data(), bytes.size()) == static_cast<ssize_t>(bytes.size()) &&
-        ::fdatasync(file.get()) == 0 && std::rename(fresh.c_str(), path_.c_str()) == 0 &&
-        ::fsync(folder.get()) == 0;
-    if (!good) why_ = path_ + ": " + std::strerror(errno);
-    return good;
+    return store::put_whole(directory_, kFile, kMagic, all.SerializeAsString(), why_);
+}
+
+NotesHome::NotesHome(const std::string& directory) : directory_(directory) {
+    if (const auto all = take<wire::Notes>(directory, kNotesFile, kNotesMagic, broken_))
+        kept_ = lease::read(*all);
+}
+
+bool NotesHome::keep(const NoteKeeper::All& kept) {
+    wire::Notes all;
+    write(kept, all);
+    return store::put_whole(directory_, kNotesFile, kNotesMagic, all.SerializeAsString(), why_);
 }
 
 }   // namespace slatejunction::lease
--- a/src/lease/home.hpp
+++ b/src/lease/home.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "lease/notes.hpp"
 #include "lease/room.hpp"
 
 namespace slatejunction::lease {
@@ -22,15 +23,34 @@
     const std::string& why() const { return why_; }   // of the last failure
 
   private:
-    const std::string directory_, path_;
+    const std::string directory_;
     std::optional<Memory> memory_;
     std::string broken_, why_;
 };
 
+// The same for what a voter keeps of notes.
+class NotesHome {
+  public:
+    explicit NotesHome(const std::string& directory);   // throws as FileHome
+    bool keep(const NoteKeeper::All& kept);
+    // What an earlier process kept; null: nothing.
+    const NoteKeeper::All* kept() const { return kept_ ? &*kept_ : nullptr; }
+    const std::string& broken() const { return broken_; }
+    const std::string& why() const { return why_; }
+
+  private:
+    const std::string directory_;
+    std::optional<NoteKeeper::All> kept_;
+    std::string broken_, why_;
+};
+
 namespace wire {
 class Memory;
-}
+class Notes;
+}   // namespace wire
 void write(const Memory& memory, wire::Memory& out);
 Memory read(const wire::Memory& in);
+void write(const NoteKeeper::All& kept, wire::Notes& out);
+NoteKeeper::All read(const wire::Notes& in);
 
 }   // namespace slatejunction::lease
--- a/src/metrics/measures.cpp
+++ b/src/metrics/measures.cpp
@@ -144,8 +144,10 @@
         const Family& family = kFamilies[number_of];
         const Id id = static_cast<Id>(number_of);
         const bool gauge = family.type == Type::gauge;
-        layout.places.push_back({gauge ? layout.gauges : layout.names.size(), gauge});
-        for (const Labels& labels : rows_of(id, shape, classes, plans)) {
+        layout.places.push_back({gauge ? layout.gauges : layout.names.size(), gauge, 0});
+        const auto rows = rows_of(id, shape, classes, plans);
+        layout.places.back().count = rows.size();
+        for (const Labels& labels : rows) {
             const auto series = [&](const char* suffix, std::size_t source) {
                 layout.series.push_back({id, std::string(family.name) + suffix, labels});
                 layout.sources.push_back(static_cast<std::uint32_t>(source));
@@ -229,6 +231,13 @@
     return places_[static_cast<std::size_t>(id)].gauge ? gauges_[at(id, label)] : cells_.get(at(id, label));
 }
 
+double Measures::sum(Id id, std::size_t step, std::size_t first) const {
+    double all = 0;
+    for (std::size_t i = first; i < places_[static_cast<std::size_t>(id)].count; i += step)
+        all += get(id, i);
+    return all;
+}
+
 void Measures::sample(std::vector<double>& values) const {
     values.resize(series_.size());
     double bucket = 0;
--- a/src/metrics/measures.hpp
+++ b/src/metrics/measures.hpp
@@ -65,6 +65,8 @@
     void add(Id id, std::size_t label = 0, double by = 1);   // a counter without or with one fixed label
     void set(Id id, double value, std::size_t label = 0);    // a gauge
     double get(Id id, std::size_t label = 0) const;
+    // Over every `step`-th of its figures from the `first` on.
+    double sum(Id id, std::size_t step = 1, std::size_t first = 0) const;
 
     const std::vector<Series>& series() const { return series_; }
     // One figure for each of series(), in that order; buckets are cumulative.
@@ -81,6 +83,7 @@
     struct Place {
         std::size_t first = 0;
         bool gauge = false;
+        std::size_t count = 0;   // of a counter or gauge
     };
     struct Layout;
     explicit Measures(Shape shape, std::int64_t now_ms, const std::string& path, Layout layout);
--- a/src/net/datagrams.cpp
+++ b/src/net/datagrams.cpp
@@ -20,14 +20,12 @@
         return false;
     }
     socket_ = std::move(socket);
-    source_.reset(g_socket_create_source(socket_.get(), G_IO_IN, nullptr));
-    g_source_set_callback(source_.get(), G_SOURCE_FUNC(&Datagrams::on_in), this, nullptr);
-    attach(source_.get());
+    watch_.emplace(timers_, g_socket_get_fd(socket_.get()), [this] { read(); });
     return true;
 }
 
 void Datagrams::stop() {
-    source_.reset();
+    watch_.reset();
     if (socket_) g_socket_close(socket_.get(), nullptr);
     socket_.reset();
 }
@@ -41,16 +39,14 @@
 }
 
 // By recv itself: GIO reports "would block" by allocating.
-gboolean Datagrams::on_in(GSocket* socket, GIOCondition, gpointer data) {
-    auto& self = *static_cast<Datagrams*>(data);
-    const int fd = g_socket_get_fd(socket);
-    for (int i = 0; i < kAtOnce && self.socket_; ++i) {
-        const ssize_t size = ::recv(fd, self.room_, sizeof self.room_, MSG_DONTWAIT | MSG_TRUNC);
+void Datagrams::read() {
+    for (int i = 0; i < kAtOnce && socket_; ++i) {
+        const ssize_t size =
+            ::recv(g_socket_get_fd(socket_.get()), room_, sizeof room_, MSG_DONTWAIT | MSG_TRUNC);
         if (size < 0) break;   // also an error that came back for one that was sent
         const std::size_t got = static_cast<std::size_t>(size);
-        self.taken_({self.room_, std::min(got, sizeof self.room_)});
+        taken_({room_, std::min(got, sizeof room_)});
     }
-    return G_SOURCE_CONTINUE;
 }
 
 }   // namespace slatejunction::net
--- a/src/net/datagrams.hpp
+++ b/src/net/datagrams.hpp
@@ -3,10 +3,12 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "net/glib.hpp"
+#include "net/timers.hpp"
 
 namespace slatejunction::net {
 
@@ -14,7 +16,8 @@
   public:
     static constexpr int kAtOnce = 32;   // read at one wake-up
 
-    explicit Datagrams(std::function<void(std::string_view)> taken) : taken_(std::move(taken)) {}
+    Datagrams(Timers& timers, std::function<void(std::string_view)> taken)
+        : timers_(timers), taken_(std::move(taken)) {}
     bool start(GSocketAddress* address, std::string& why);
     void stop();
     bool open() const { return socket_ != nullptr; }
@@ -22,10 +25,11 @@
     bool send(GSocketAddress* to, std::string_view bytes);
 
   private:
-    static gboolean on_in(GSocket*, GIOCondition, gpointer self);
+    void read();
+    Timers& timers_;
     std::function<void(std::string_view)> taken_;
     Ref<GSocket> socket_;
-    Source source_;
+    std::optional<Watch> watch_;
     char room_[2048];
 };
 
--- a/src/net/timers.cpp
+++ b/src/net/timers.cpp
@@ -45,6 +45,7 @@
                    queue.begin()->first <= 1e-6 * static_cast<double>(g_source_get_time(source));
         },
         [](GSource* source, GSourceFunc, gpointer) -> gboolean {
+            reinterpret_cast<Wake*>(source)->self->look();
             reinterpret_cast<Wake*>(source)->self->run();
             return G_SOURCE_CONTINUE;
         },
@@ -56,6 +57,26 @@
     attach(source_.get());
 }
 
+Watch::Watch(Timers& timers, int fd, std::function<void()> call)
+    : timers_(timers),
+      call_(std::move(call)),
+      tag_(g_source_add_unix_fd(timers.source_.get(), fd, G_IO_IN)) {
+    timers_.watches_.push_back(this);
+}
+
+Watch::~Watch() {
+    std::erase(timers_.watches_, this);
+    g_source_remove_unix_fd(timers_.source_.get(), tag_);
+}
+
+void Timers::look() {
+    const std::vector<Watch*> all = watches_;   // a call may end any of them, or begin one
+    for (Watch* one : all)
+        if (std::find(watches_.begin(), watches_.end(), one) != watches_.end() &&
+            g_source_query_unix_fd(source_.get(), one->tag_) != 0)
+            one->call_();
+}
+
 void Timers::run() {
     const double time = now();
     // Guards against judging time-outs before the answers that wait: a program that stood still looks at
--- a/src/net/timers.hpp
+++ b/src/net/timers.hpp
@@ -1,8 +1,11 @@
-// All timers of the program on one GSource.
+// All timers of the program on one GSource, and the descriptors that are seldom ready: each source of its
+// own costs every wake-up of the loop a look (700 instructions a request), a descriptor of this one a tenth
+// of that.
 #pragma once
 
 #include <functional>
 #include <map>
+#include <vector>
 
 #include "net/glib.hpp"
 
@@ -31,17 +34,35 @@
     bool armed_ = false;
 };
 
+// Calls back when the descriptor can be read, until it is destroyed; the descriptor outlives it.
+class Watch {
+  public:
+    Watch(Timers& timers, int fd, std::function<void()> call);
+    ~Watch();
+    Watch(const Watch&) = delete;
+    Watch& operator=(const Watch&) = delete;
+
+  private:
+    friend class Timers;
+    Timers& timers_;
+    std::function<void()> call_;
+    gpointer tag_;
+};
+
 class Timers {
   public:
     Timers();
 
   private:
     friend class Timer;
+    friend class Watch;
     struct Wake {
         GSource base;
         Timers* self;
     };
     void run();
+    void look();
+    std::vector<Watch*> watches_;
     std::multimap<double, Timer*> queue_;
     Source source_;
     int waited_ = 0;
--- a/src/operator/options.cpp
+++ b/src/operator/options.cpp
@@ -24,6 +24,7 @@
     all.push_back(peers.section());
     all.push_back(lease.section());
     all.push_back(lease.announce());
+    all.push_back(sums.section());
     return all;
 }
 
@@ -40,6 +41,10 @@
     if (faults.empty() && !fresh.lease.announce_url.empty() && !fresh.lease.on())
         faults.push_back(path +
                          ": [announce] url: [lease] voters are wanted, only a holder announces itself");
+    if (faults.empty() && fresh.sums.on() && (!fresh.lease.on() || fresh.remote_write.url.empty()))
+        faults.push_back(path + ": [fleet_sums] every_s: wants " +
+                         (fresh.lease.on() ? "[remote_write] url, where the sums are written"
+                                           : "[lease] voters, one of all ingresses writes them"));
     if (faults.empty() && fresh.lease.on() && fresh.lease.numbers == lease::Options::kept &&
         fresh.metrics.directory.empty())
         faults.push_back(path + ": [lease] numbers: kept wants [state] directory");
--- a/src/operator/options.hpp
+++ b/src/operator/options.hpp
@@ -12,6 +12,7 @@
 #include "quota/settings.hpp"
 #include "remotewrite/settings.hpp"
 #include "rules/settings.hpp"
+#include "sums/settings.hpp"
 
 namespace slatejunction::operating {
 
@@ -23,6 +24,7 @@
     quota::Options quota;
     peers::Options peers;
     lease::Options lease;
+    sums::Options sums;
 
     bool collects() const { return metrics.collect == 1 || !remote_write.url.empty(); }
     std::vector<ini::Section> sections();   // they write into this object
--- a/src/peers/bound.hpp
+++ b/src/peers/bound.hpp
@@ -14,8 +14,10 @@
 inline constexpr std::size_t kBodyMost = 1000;       // bytes, of what a room above sends in one datagram
 inline constexpr double kTimeoutPart = 0.3;          // of the interval, until others are asked to probe
 inline constexpr std::size_t kIndirect = 3;          // others that are asked
-inline constexpr int kHealthMost = 7;                // added to the factor on own timings
-inline constexpr std::size_t kConfirmations = 2;     // of others that bring a suspicion to its least time
+inline constexpr double kIndirectMore = 8;         // asked beside, times the part of own probes that failed
+inline constexpr double kMissedWeight = 0.05;      // of one probe in that part
+inline constexpr int kHealthMost = 7;              // added to the factor on own timings
+inline constexpr std::size_t kConfirmations = 2;   // of others that bring a suspicion to its least time
 inline constexpr double kSuspicionLeast = 4, kSuspicionMost = 3;   // intervals x log10(n); times the least
 inline constexpr double kSpreadPart = 0.2;      // of the interval, between rounds of news
 inline constexpr std::size_t kSpreadTo = 3;     // members a round
--- a/src/peers/driver.cpp
+++ b/src/peers/driver.cpp
@@ -19,7 +19,7 @@
       log_(log),
       timer_(timers, [this] { due(); }),
       bind_timer_(timers, [this] { bind(); }),
-      socket_([this](std::string_view bytes) { taken(bytes); }) {}
+      socket_(timers, [this](std::string_view bytes) { taken(bytes); }) {}
 
 void Driver::start() { bind(); }
 
--- a/src/peers/driver.hpp
+++ b/src/peers/driver.hpp
@@ -18,7 +18,15 @@
 namespace slatejunction::peers {
 
 // One for each room above; a number is never used for anything else.
-enum class Channel : std::uint32_t { lease = 1, limits = 2, verdicts = 3, sites = 4 };
+enum class Channel : std::uint32_t {
+    lease = 1,
+    limits = 2,
+    verdicts = 3,
+    sites = 4,
+    notes = 5,
+    sums = 6,
+    sentinel = 7
+};
 
 class Driver {
   public:
--- a/src/peers/members.cpp
+++ b/src/peers/members.cpp
@@ -102,7 +102,17 @@
     }
     if (probe_.number != 0 && !probe_.answered && !probe_.indirect && now >= probe_.indirect_at) {
         probe_.indirect = true;
-        for (const std::string& name : pick(kIndirect, probe_.target)) {
+        missed_ += kMissedWeight * (1 - missed_);
+        // Once more directly, and by more others the more is lost here: each false suspicion goes round the
+        // fleet twice, which costs far more than these.
+        const auto target = members_.find(probe_.target);
+        if (target != members_.end()) {
+            wire::Packet ping = packet(Kind::ping);
+            ping.set_number(probe_.number);
+            post(now, target->second, ping, true);
+        }
+        const auto others = kIndirect + static_cast<std::size_t>(std::lround(kIndirectMore * missed_));
+        for (const std::string& name : pick(others, probe_.target)) {
             wire::Packet ask = packet(Kind::probe_for);
             ask.set_number(probe_.number);
             ask.set_target(probe_.target);
@@ -198,6 +208,7 @@
 
 void Members::probe_over(double now) {
     const Probe probe = std::exchange(probe_, {});
+    if (!probe.indirect) missed_ -= kMissedWeight * missed_;
     if (probe.answered) return;
     healthier(-1);
     const auto at = members_.find(probe.target);
--- a/src/peers/members.hpp
+++ b/src/peers/members.hpp
@@ -171,6 +171,7 @@
     std::uint64_t numbers_ = 0;
     bool started_ = false, leaving_ = false, waits_ = false, joined_ = false;
     int health_ = 0;
+    double missed_ = 0;   // the part of probes that had no answer at first, of late
     double next_probe_ = 0, next_spread_ = 0, next_sync_ = 0, next_reach_ = 0, asserted_at_ = -1e18;
     double tokens_ = kDatagramsPerInterval, tokens_at_ = 0;
     std::vector<Datagram> datagrams_;
--- a/src/quota/bank.cpp
+++ b/src/quota/bank.cpp
@@ -489,9 +489,8 @@
     const bool intact = !aged && total > part.check_least + 0.5;
     if (part.check_least == 0) part.check_made_at = now_;
     if (!intact) {
-        ++part.epoch;
-        ++empties_;
-        part.floor_at = t;
+        if (!aged) found_.push_back(pending.part);
+        empty(pending.part);
     }
     part.check_least = total;
     if (part.check_generation != generation) {
@@ -513,6 +512,34 @@
     if (!part.suspects.empty() || part.check_wanted || part.check_least == 0) want_check(pending.part);
 }
 
+// All customers' stores of that part count as empty from now on.
+void Bank::empty(unsigned number) {
+    Part& part = parts_[number];
+    ++part.epoch;
+    ++empties_;
+    part.floor_at = now_ + offset_;
+}
+
+void Bank::emptied(double now, unsigned number) {
+    step(now);
+    empty(number);
+    // Its own check would only tell the same again: it begins anew, at once.
+    parts_[number].check_least = 0;
+    if (!parts_[number].lost) want_check(number);
+    arm();
+}
+
+void Bank::add_sentinel(double now, unsigned number, std::int64_t generation, double by) {
+    step(now);
+    if (parts_[number].lost) return;
+    Pending pending;
+    pending.what = What::sentinel;
+    pending.part = number;
+    pending.by = by;
+    pending.generation = generation;
+    send(std::move(pending), "z." + std::to_string(generation), 60'000);
+}
+
 // Who is there. ---------------------------------------------------------------------------------------
 
 void Bank::on_beat(unsigned number, double total) {
@@ -584,6 +611,9 @@
         case What::beat:
             on_beat(pending.part, total);
             break;
+        case What::sentinel:
+            sentinels_.push_back({pending.part, pending.generation, total});
+            break;
     }
     arm();
 }
--- a/src/quota/bank.hpp
+++ b/src/quota/bank.hpp
@@ -14,6 +14,7 @@
 #include <random>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace slatejunction::quota {
@@ -95,6 +96,20 @@
     void refused(double now, std::uint64_t call);
     void maybe(double now, std::uint64_t call);
 
+    // The part has lost what it held, as others have found: as if this one's check had told it.
+    void emptied(double now, unsigned part);
+    // Parts whose loss this one's check has told for sure (it was not too old to tell), since the last
+    // call.
+    std::vector<unsigned> take_found() { return std::exchange(found_, {}); }
+    // Adds to the fleet's own name of that part, see sentinel.hpp; what it holds comes by take_sentinels().
+    void add_sentinel(double now, unsigned part, std::int64_t generation, double by);
+    struct SentinelRead {
+        unsigned part = 0;
+        std::int64_t generation = 0;
+        double total = 0;
+    };
+    std::vector<SentinelRead> take_sentinels() { return std::exchange(sentinels_, {}); }
+
     // To be called when due() has come; it is never in the past for long.
     void wake(double now);
     double due() const { return due_; }
@@ -160,7 +175,7 @@
         bool beat_out = false;
         std::size_t owed = 0;   // calls without an end
     };
-    enum class What { report, check, beat, before };
+    enum class What { report, check, beat, before, sentinel };
     struct Pending {
         What what = What::report;
         std::uint64_t customer = 0;
@@ -195,6 +210,7 @@
     void failed(unsigned part);
     void heard(unsigned part);
     void lose(unsigned part);
+    void empty(unsigned part);
     void arm();
 
     Settings settings_;
@@ -206,6 +222,8 @@
     std::unordered_map<std::uint64_t, Pending> pending_;
     std::vector<Part> parts_;
     std::vector<Call> calls_;
+    std::vector<unsigned> found_;
+    std::vector<SentinelRead> sentinels_;
     std::deque<std::uint64_t> waiting_;   // customers that could not report: no budget
 };
 
--- a/src/quota/driver.cpp
+++ b/src/quota/driver.cpp
@@ -142,7 +142,42 @@
     if (bank_.has_calls() || bank_.due() - unix_at_zero_ < armed_for_) pump();
 }
 
+void Driver::with_fleet(Ways ways) {
+    ways_ = std::move(ways);
+    sentinel_.emplace(static_cast<unsigned>(parts_.size()));
+    seen_.assign(parts_.size(), -1);
+}
+
+void Driver::on_conducts(bool on) {
+    sentinel_->on_conducts(now(), on);
+    pump();
+}
+
+void Driver::hear(std::string_view body) {
+    SentinelMessage message;
+    if (!read(body, message)) return;
+    sentinel_->on_message(now(), message);
+    pump();
+}
+
+// What the bank has found and read goes to the sentinel, what that wants to the bank.
+void Driver::pump_sentinel() {
+    for (const unsigned part : bank_.take_found()) sentinel_->on_lost(now(), part);
+    for (const auto& one : bank_.take_sentinels()) {
+        sentinel_->on_read(now(), one.part, one.generation, one.total);
+        if (one.total < 0.5 || std::exchange(seen_[one.part], one.generation) == one.generation) continue;
+        const std::pair<std::string_view, std::string> fields[] = {
+            {"part", std::to_string(one.part)}, {"generation", std::to_string(one.generation)}};
+        log_.event("sentinel_seen", fields);
+    }
+    for (const unsigned part : sentinel_->take_lost()) bank_.emptied(now(), part);
+    for (const auto& add : sentinel_->take_adds())
+        if (add.by == 0 || ways_.permit()) bank_.add_sentinel(now(), add.part, add.generation, add.by);
+    for (const auto& post : sentinel_->take_posts()) ways_.say(post.all, write(post.message));
+}
+
 void Driver::pump() {
+    if (sentinel_) pump_sentinel();
     // A call that fails at once may bring others: those of the next wake-up, so that this ends.
     for (const Call& call : bank_.take_calls()) {
         ++calls_;
@@ -161,6 +196,7 @@
     for (std::size_t part = 0; part < links_.size(); ++part)
         if (const auto link = links_[part]) link->flush();
     double next = bank_.due() - unix_at_zero_;
+    if (sentinel_) next = std::min(next, sentinel_->due() - unix_at_zero_);
     for (const auto& link : links_)
         if (link) next = std::min(next, link->silent_due());
     armed_for_ = next;
@@ -172,6 +208,7 @@
     for (std::size_t part = 0; part < links_.size(); ++part)
         if (const auto link = links_[part]; link && link->silent(net::now())) link->lose();
     if (bank_.due() <= now()) bank_.wake(now());
+    if (sentinel_ && sentinel_->due() <= now()) sentinel_->wake(now());
     pump();
 }
 
@@ -190,6 +227,7 @@
     }
     if (bank_.empties() == told_empties_) return;
     told_empties_ = bank_.empties();
+    log_.event("counter_emptied", {});
     log_.write(Log::Level::warning, net::now(),
                "quota: the counter has lost what it held; customers' stores count as empty from now on");
 }
--- a/src/quota/driver.hpp
+++ b/src/quota/driver.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,7 @@
 #include "net/stream.hpp"
 #include "net/timers.hpp"
 #include "quota/bank.hpp"
+#include "quota/sentinel.hpp"
 #include "quota/settings.hpp"
 #include "quota/wire.hpp"
 
@@ -23,6 +25,15 @@
            Log& log);
     ~Driver();
     void start();
+    // The sentinel's way to the others; before start(). Lives longer.
+    struct Ways {
+        std::function<bool()> permit;                                 // an act of the conductor's may begin
+        std::function<void(bool all, const std::string& body)> say;   // else to the conductor
+    };
+    void with_fleet(Ways ways);
+    void on_conducts(bool on);
+    void hear(std::string_view body);
+    const Sentinel* sentinel() const { return sentinel_ ? &*sentinel_ : nullptr; }
     // Moves to other addresses or the other protocol; what is out at the old ones may or may not have been
     // added. What else has changed waits for the next start. False: there is a change of that kind.
     bool reload(const Options& options);
@@ -42,11 +53,15 @@
     void close(std::size_t part);
     void due();
     void tell();
+    void pump_sentinel();
 
     Options options_;
     std::vector<std::string> parts_;
     std::vector<net::Address> addresses_;
     Bank bank_;
+    std::optional<Sentinel> sentinel_;
+    Ways ways_;
+    std::vector<std::int64_t> seen_;   // by part: the generation in which the sentinel was last seen first
     net::Timers& timers_;
     Log& log_;
     net::Timer timer_;
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -8,6 +8,8 @@
 #include <cerrno>
 #include <cstdio>
 #include <cstring>
+#include <fstream>
+#include <iterator>
 #include <utility>
 
 namespace slatejunction::store {
@@ -29,6 +31,47 @@
                                                   : std::string(": ") + std::strerror(errno)));
 }
 
+namespace {
+constexpr std::size_t kMagic = 8, kHead = kMagic + 8;   // bytes; behind the magic the check
+}   // namespace
+
+bool put_whole(const std::string& directory, const std::string& name, const char* magic,
+               const std::string& body, std::string& why) {
+    const std::string path = directory + "/" + name, fresh = path + "~";
+    std::string bytes(magic, kMagic);
+    const std::uint64_t check = check_of(body.data(), body.size());
+    bytes.append(reinterpret_cast<const char*>(&check), sizeof check);
+    bytes += body;
+    const File file(::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
+    const File folder(::open(directory.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+    const bool good =
+        file && folder &&
+        ::write(file.get(), bytes.data(), bytes.size()) == static_cast<ssize_t>(bytes.size()) &&
+        ::fdatasync(file.get()) == 0 && std::rename(fresh.c_str(), path.c_str()) == 0 &&
+        ::fsync(folder.get()) == 0;
+    if (!good) why = path + ": " + std::strerror(errno);
+    return good;
+}
+
+std::optional<std::string> take_whole(const std::string& directory, const std::string& name,
+                                      const char* magic, std::string& broken) {
+    const std::string path = directory + "/" + name;
+    std::ifstream in(path, std::ios::binary);
+    if (!in) {
+        if (::access(path.c_str(), F_OK) == 0) throw Error(path + " can't be read");
+        return {};
+    }
+    const std::string bytes((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+    std::uint64_t check = 0;
+    if (bytes.size() >= kHead) std::memcpy(&check, bytes.data() + kMagic, sizeof check);
+    if (bytes.size() < kHead || std::memcmp(bytes.data(), magic, kMagic) != 0 ||
+        check != check_of(bytes.data() + kHead, bytes.size() - kHead)) {
+        broken = set_aside(path);
+        return {};
+    }
+    return bytes.substr(kHead);
+}
+
 std::string set_aside(const std::string& path) {
     for (int number = 1;; ++number) {
         const std::string other = path + ".broken-" + std::to_string(number);
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <stdexcept>
 #include <string>
 
@@ -40,6 +41,16 @@
     File lock_;
 };
 
+// A small file that is whole or not there: `magic` (8 bytes, with the version), a check of what follows,
+// the body. put_whole() leaves the old or the new one, also where a machine loses power; false: `why`
+// tells, and the old one stands.
+bool put_whole(const std::string& directory, const std::string& name, const char* magic,
+               const std::string& body, std::string& why);
+// What stands there; nothing: no file. Throws Error when it can't be read. One that is broken is set aside,
+// and `broken` tells where.
+std::optional<std::string> take_whole(const std::string& directory, const std::string& name,
+                                      const char* magic, std::string& broken);
+
 // Gives a broken file another name beside it, which it returns: "NAME.broken-N" with the first free N.
 std::string set_aside(const std::string& path);
 
--- /dev/null
+++ b/src/sums/driver.hpp
@@ -0,0 +1,73 @@
+// Carries the fleet's sums: cuts this ingress's counters when the wall clock says that a period has ended,
+// tells them to the holder, and, where this is the holder, writes rows by remote write. Decides nothing.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "log/log.hpp"
+#include "net/timers.hpp"
+#include "remotewrite/driver.hpp"
+#include "sums/settings.hpp"
+#include "sums/teller.hpp"
+
+namespace slatejunction::sums {
+
+class Driver {
+  public:
+    struct Ways {
+        std::function<Values()> values;        // counters since the process began
+        std::function<std::string()> holder;   // by name, as far as known; empty: nobody
+        // Rows may be handed to the receiver now.
+        std::function<bool()> permit;
+        std::function<void(const std::string&to, const std::string&body)> tell, note;
+    };
+    Driver(const Options& options, const remotewrite::Settings& receiver, std::string name,
+           std::uint64_t process, const lease::Times& times, const lease::Voters& voters,
+           std::uint64_t seed, std::string version, Ways ways, net::Timers& timers, Log& log);
+
+    void start();
+    void stop();   // tells what there is to tell, once
+    // Held under this number from now on; 0: no longer.
+    void on_held(std::uint64_t number);
+    void set_voters(const lease::Voters& voters);
+    void hear(const std::string& from, std::string_view body);
+    void hear_note(const std::string& from, const lease::NoteMessage& message);
+
+    const Collector& collector() const { return collector_; }
+    const Teller& teller() const { return teller_; }
+    std::uint64_t rows() const { return rows_; }           // handed to the receiver
+    double last_row_unix_s() const { return last_row_; }   // the end of the period of the last one; 0: none
+
+  private:
+    void cut();
+    void tell();
+    void due();
+    void pump();
+    void hand_over();
+
+    const Options options_;
+    const remotewrite::Settings receiver_;
+    const std::string name_, version_;
+    const std::uint64_t process_, seed_;
+    const Ways ways_;
+    net::Timers& timers_;
+    Log& log_;
+    std::minstd_rand random_;   // of waits only
+    Teller teller_;
+    Collector collector_;
+    std::shared_ptr<remotewrite::Layout> layout_;
+    std::unique_ptr<remotewrite::Driver> writer_;   // while this is the holder
+    std::deque<Row> rows_waiting_;                  // for the lease's permit
+    std::deque<Collector::Answer> answers_;         // paced, so that no burst goes out to all
+    net::Timer cut_timer_, tell_timer_, due_timer_, answer_timer_;
+    std::uint64_t rows_ = 0, last_period_ = 0, told_anew_ = 0;
+    std::uint64_t handed_ = 0;   // the last row handed over by this writer
+    double last_row_ = 0;
+    bool pumping_ = false, stopped_ = false;
+};
+
+}   // namespace slatejunction::sums
--- /dev/null
+++ b/src/sums/settings.hpp
@@ -0,0 +1,25 @@
+// The operator's [fleet_sums] section.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "ini/ini.hpp"
+#include "sums/collector.hpp"
+
+namespace slatejunction::sums {
+
+struct Options {
+    double every_s = 0;   // 0: off
+    double grace_s = 1;
+    bool operator==(const Options&) const = default;
+
+    bool on() const { return every_s > 0; }
+    Settings settings() const { return {every_s, grace_s}; }
+    ini::Section section();
+};
+
+// What is promised, for check-config.
+std::string stated(const Options& options, const lease::Times& times);
+
+}   // namespace slatejunction::sums
--- a/standins/link.cpp
+++ b/standins/link.cpp
@@ -105,7 +105,7 @@
       listen_address_(net::parse_address(listen_)),
       to_address_(net::parse_address(to_)),
       random_(seed),
-      datagrams_([this](std::string_view bytes) { taken(bytes); }),
+      datagrams_(timers, [this](std::string_view bytes) { taken(bytes); }),
       timer_(timers, [this] { run(); }) {}
 
 Link::~Link() {
--- a/tests/fleet/rig.hpp
+++ b/tests/fleet/rig.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <rapidjson/document.h>
+#include <sys/file.h>
 
 #include <cstdio>
 #include <filesystem>
@@ -19,6 +20,7 @@
 
 #include "files.hpp"
 #include "process.hpp"
+#include "recording.hpp"
 
 namespace rig {
 
@@ -29,6 +31,8 @@
     double lives_s = 1;          // of a lease
     double drift = 0.05, margin_s = 0.05, act_s = 0.1;
     double announce_s = 0.05;   // between acts; 0: no task
+    double sums_s = 0;          // a period of the fleet's sums; 0: none, and no receiver
+    bool counter = false;       // quotas by a shared counter, an address of it for each ingress
     int drains = 0;
     bool kept = false;                        // voters have a state directory
     std::string voter_names, voters_before;   // in place of the first `voters`
@@ -39,23 +43,54 @@
     std::uint64_t seed = 1;
 };
 
-// Ports under the system's own range, in blocks by process, so that fleets that run side by side don't
-// meet.
+// Ports under the system's own range, in blocks. A block is this process's for as long as it lives (a lock
+// on a file), so that fleets that run side by side don't meet, also while one of theirs is dead and its
+// ports look free.
+class Ports {
+  public:
+    static constexpr int kFirst = 10000, kBlock = 400, kBlocks = 55;
+    Ports() {
+        for (int i = 0; i < kBlocks && lock_ < 0; ++i) {
+            block_ =
+                static_cast<int>((static_cast<unsigned>(::getpid()) + static_cast<unsigned>(i)) % kBlocks);
+            const std::string path = "/tmp/slatejunction-ports-" + std::to_string(block_);
+            const int fd = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+            if (fd >= 0 && ::flock(fd, LOCK_EX | LOCK_NB) == 0)
+                lock_ = fd;
+            else if (fd >= 0)
+                ::close(fd);
+        }
+    }
+    ~Ports() {
+        if (lock_ >= 0) ::close(lock_);
+    }
+    Ports(const Ports&) = delete;
+    Ports& operator=(const Ports&) = delete;
+    int next() {
+        REQUIRE(lock_ >= 0);
+        for (int tries = 0; tries < kBlock; ++tries) {
+            const int port = kFirst + block_ * kBlock + at_;
+            at_ = (at_ + 1) % kBlock;
+            const int tcp = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0),
+                      udp = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+            const sockaddr_in at = loopback_of(port);
+            const bool free = ::bind(tcp, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0 &&
+                              ::bind(udp, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0;
+            ::close(tcp);
+            ::close(udp);
+            if (free) return port;
+        }
+        FAIL("no port is free");
+        return 0;
+    }
+
+  private:
+    int lock_ = -1, block_ = 0, at_ = 0;
+};
+
 inline int fleet_port() {
-    static int next = 10000 + static_cast<int>(::getpid()) * 211 % 22000;
-    for (int tries = 0; tries < 2000; ++tries) {
-        next = next >= 32000 ? 10000 : next + 1;
-        const int tcp = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0),
-                  udp = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-        const sockaddr_in at = loopback_of(next);
-        const bool free = ::bind(tcp, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0 &&
-                          ::bind(udp, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0;
-        ::close(tcp);
-        ::close(udp);
-        if (free) return next;
-    }
-    FAIL("no port is free");
-    return 0;
+    static Ports ports;
+    return ports.next();
 }
 
 // The answer's body of a call; empty when there was none.
@@ -77,6 +112,20 @@
         ledger_ = Process({STANDIN, "ledger", "--listen", address_of(ledger_port), "--control",
                            address_of(ledger_control), "--out", folder.file("ledger"), "--seconds", "600"},
                           "", "");
+        if (plan.sums_s > 0)
+            receiver_ = Process({STANDIN, "remote-write", "--seconds", "600", "--listen",
+                                 address_of(receiver_port), "--out", folder.file("samples")},
+                                folder.file("receiver"), "");
+        if (plan.counter) {
+            std::vector<std::string> words{STANDIN,     "counter", "--control", address_of(counter_control),
+                                           "--seconds", "600"};
+            for (std::size_t i = 0; i < plan.ingresses; ++i) {
+                counters_.push_back(fleet_port());
+                words.insert(words.end(), {"--listen", address_of(counters_.back())});
+            }
+            counter_ = Process(words, "", "");
+            REQUIRE(wait_for([&] { return !ask(counter_control, "GET", "/stats").empty(); }));
+        }
         start_links();
         for (std::size_t i = 0; i < plan.ingresses; ++i) {
             std::filesystem::create_directory(folder.file("state" + std::to_string(i)));
@@ -169,11 +218,12 @@
                                folder.file("operator" + std::to_string(i)), admin, folder.path()),
                        "", records_file(i));
     }
-    std::string request(std::size_t i, const std::string& id) const {
+    std::string request(std::size_t i, const std::string& id, int spread = 1) const {
         return ask(ports_[i], "GET", "/risk-read?customer=00000000b4d65521",
                    "X-Request-Id: " + id +
                        "\r\nX-Class: risk-read\r\nX-Tier: plus\r\nX-Deadline: 2.000\r\n"
-                       "X-Call-Terms: units=1,spread=1,first=0\r\n");
+                       "X-Call-Terms: units=1,spread=" +
+                       std::to_string(spread) + ",first=0\r\n");
     }
     bool served(std::size_t i, const std::string& id) const {
         return request(i, id).starts_with("HTTP/1.1 200");
@@ -181,6 +231,9 @@
     void go_on(std::size_t i) { ingresses_[i].signal(SIGCONT); }
     Process& process(std::size_t i) { return ingresses_[i]; }
 
+    void order_counter(const std::string& order) const {
+        REQUIRE(ask(counter_control, "POST", order).starts_with("HTTP/1.1 200"));
+    }
     // Orders to links: `pattern` as in "n0-*".
     void link(const std::string& pattern, const std::string& fault) const {
         const std::string answer = ask(link_control, "POST", "/" + pattern + "/" + fault);
@@ -237,6 +290,13 @@
         const std::size_t at = text.find("\"acts\":");
         return at == std::string::npos ? 0 : std::stoul(text.substr(at + 7));
     }
+    // Ends the ingresses and the receiver; what the latter has stored.
+    standin::Recording end_receiver() {
+        for (Process& one : ingresses_)
+            if (one.id() > 0) one.signal(SIGCONT), one.end(SIGTERM);
+        receiver_.end(SIGTERM);
+        return standin::read_recording(folder.file("samples"));
+    }
     std::string records_file(std::size_t i) const { return folder.file("records" + std::to_string(i)); }
     std::string log(std::size_t i) const { return folder.read("records" + std::to_string(i)); }
     int admin_port(std::size_t i) const { return admins_[i]; }
@@ -280,6 +340,16 @@
                 text += "[announce]\nurl = http://" + address_of(ledger_port) +
                         "/act\nevery_s = " + std::to_string(plan.announce_s) + "\n";
         }
+        if (plan.sums_s > 0)
+            text += "[remote_write]\nurl = http://" + address_of(receiver_port) +
+                    "/api/v1/write\ninterval_s = 5\ntimeout_s = 1\n[fleet_sums]\nevery_s = " +
+                    std::to_string(plan.sums_s) + "\ngrace_s = " + std::to_string(plan.sums_s / 4) + "\n";
+        if (plan.counter) {
+            replace(config, "\"Balancers\": 1", "\"Balancers\": " + std::to_string(plan.ingresses));
+            replace(config, "\"MyNumber\": 0", "\"MyNumber\": " + std::to_string(i));
+            folder.write("config" + std::to_string(i), config);
+            text += "[quota]\ncounter = " + address_of(counters_[i]) + "\n";
+        }
         if (plan.kept) text += "[state]\ndirectory = " + folder.file("state" + std::to_string(i)) + "\n";
         folder.write("operator" + std::to_string(i), text + plan.more);
     }
@@ -287,7 +357,7 @@
     Plan plan;
     Folder folder;
     const int ledger_port = fleet_port(), ledger_control = fleet_port(), link_control = fleet_port(),
-              directory_port = fleet_port();
+              directory_port = fleet_port(), receiver_port = fleet_port(), counter_control = fleet_port();
 
   private:
     static std::string base_config() {
@@ -331,10 +401,10 @@
         link_process_ = Process(words, "", folder.file("links"));
     }
 
-    std::vector<int> ports_, admins_, peers_;
+    std::vector<int> ports_, admins_, peers_, counters_;
     std::map<std::pair<std::size_t, std::size_t>, int> links_;
     std::vector<Process> backends_;
-    Process ledger_, link_process_;
+    Process ledger_, link_process_, receiver_, counter_;
     std::vector<Process> ingresses_;
 };
 
--- /dev/null
+++ b/tests/quota/sentinel_test.cpp
@@ -0,0 +1,139 @@
+// The fleet's own name on the counter: one ingress's loss counts at all, a wrong one's at nobody.
+#include "quota/sentinel.hpp"
+
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <map>
+#include <random>
+#include <vector>
+
+#include "quota/bank.hpp"
+
+using namespace slatejunction::quota;
+
+namespace {
+
+// Some ingresses, a counter, and ways that lose part of what is said.
+struct Fleet {
+    explicit Fleet(std::size_t count, double loss = 0, std::uint64_t seed = 1)
+        : all(count, Sentinel(1)), losses(count), loss(loss), random(seed) {
+        all[0].on_conducts(now, true);
+        for (auto& one : all) one.wake(now);
+        settle();
+    }
+    bool lost() { return std::uniform_real_distribution<double>(0, 1)(random) < loss; }
+    void settle() {
+        for (bool more = true; more;) {
+            more = false;
+            for (std::size_t i = 0; i < all.size(); ++i) {
+                for (const auto& add : all[i].take_adds()) {
+                    if (cut == i) continue;
+                    more = true;
+                    double& value = names[add.generation];
+                    value += add.by * (twice ? 2 : 1);
+                    all[i].on_read(now, add.part, add.generation, value);
+                }
+                for (const auto& post : all[i].take_posts())
+                    for (std::size_t to = 0; to < all.size(); ++to) {
+                        if (to == i || (!post.all && to != conductor) || lost()) continue;
+                        SentinelMessage read_back;
+                        REQUIRE(read(write(post.message), read_back));
+                        all[to].on_message(now, read_back);
+                        more = true;
+                    }
+                for ([[maybe_unused]] const unsigned part : all[i].take_lost()) ++losses[i];
+            }
+        }
+    }
+    void run(double s) {
+        for (const double end = now + s; now < end; now += 0.05) {
+            for (auto& one : all)
+                if (one.due() <= now) one.wake(now);
+            settle();
+        }
+    }
+    std::vector<Sentinel> all;
+    std::vector<int> losses;
+    std::map<std::int64_t, double> names;
+    std::size_t conductor = 0, cut = SIZE_MAX;
+    bool twice = false;
+    double loss, now = 1000;
+    std::mt19937_64 random;
+};
+
+}   // namespace
+
+TEST_CASE("a loss counts once at each ingress, within the stated time") {
+    Fleet fleet(5);
+    fleet.run(7);   // the first epoch is heard
+    fleet.names.clear();
+    fleet.run(sentinel_within_s(0, 0) + 0.1);
+    for (const int one : fleet.losses) CHECK(one == 1);
+    fleet.run(60);   // the next generation's name is no loss
+    for (const int one : fleet.losses) CHECK(one == 1);
+    CHECK(fleet.all[0].raised() == 1);
+}
+
+TEST_CASE("an ingress that is cut off from the counter is told, also when most of what is said is lost") {
+    Fleet fleet(5, 0.5, 3);
+    fleet.run(30);
+    fleet.cut = 4;
+    fleet.names.clear();
+    fleet.run(6 * kSentinelTell);
+    for (const int one : fleet.losses) CHECK(one == 1);
+}
+
+TEST_CASE("one ingress whose check is wrong makes nobody's stores count as empty") {
+    Fleet fleet(5);
+    fleet.run(7);
+    for (int i = 0; i < 10; ++i) {
+        fleet.all[3].on_lost(fleet.now, 0);
+        fleet.run(1);
+    }
+    for (const int one : fleet.losses) CHECK(one == 0);
+    CHECK(fleet.all[0].not_so() == 10);
+    CHECK(fleet.all[0].raised() == 0);
+}
+
+TEST_CASE("calls that are done twice, and a new conductor, are no loss") {
+    Fleet fleet(5);
+    fleet.twice = true;
+    fleet.run(7);
+    fleet.names.clear();
+    fleet.run(2);
+    fleet.all[0].on_conducts(fleet.now, false);
+    fleet.conductor = 2;
+    fleet.all[2].on_conducts(fleet.now, true);
+    fleet.run(70);
+    for (const int one : fleet.losses) CHECK(one == 1);
+    fleet.names.clear();
+    fleet.run(2);
+    for (const int one : fleet.losses) CHECK(one == 2);
+    for (const auto& one : fleet.all) CHECK(one.epoch(0) == 3);
+}
+
+TEST_CASE("a conductor that missed a loss learns of it from the others") {
+    Fleet fleet(3);
+    fleet.run(7);
+    fleet.names.clear();
+    fleet.run(2);
+    Sentinel fresh(1);   // restarted, it conducts again
+    fleet.all[0].on_conducts(fleet.now, false);
+    fleet.all[1] = fresh;
+    fleet.conductor = 1;
+    fleet.all[1].on_conducts(fleet.now, true);
+    fleet.run(6);
+    CHECK(fleet.all[1].epoch(0) == 2);
+    fleet.names.clear();
+    fleet.run(2);
+    CHECK(fleet.losses[0] == 2);
+    CHECK(fleet.losses[2] == 2);
+}
+
+TEST_CASE("words that are none are not read") {
+    SentinelMessage message;
+    for (const char* one : {"", "x", "1", "1 2", "3 0 1", "0 0 1", "1 0 1 ", "1 0 1x"})
+        CHECK_FALSE(read(one, message));
+    CHECK(read("2 1 77", message));
+    CHECK(message.epoch == 77);
+}
--- /dev/null
+++ b/tests/sums/sums_test.cpp
@@ -0,0 +1,181 @@
+// The fleet's sums and the notes they stand on: random schedules of faults, and the plain cases one by one.
+#include <catch2/catch.hpp>
+
+#include "files.hpp"
+#include "lease/home.hpp"
+#include "operator/options.hpp"
+#include "sums/world.hpp"
+
+using namespace slatejunction;
+using namespace slatejunction::sums;
+using lease::NoteKeeper;
+using lease::NoteMessage;
+using NoteKind = lease::NoteMessage::Kind;
+
+namespace {
+
+Values of(std::uint64_t value) {
+    Values values{};
+    values[served] = value;
+    return values;
+}
+NoteMessage ask(NoteKind kind, std::uint64_t number, std::uint64_t sequence = 0, std::string text = {}) {
+    NoteMessage made{kind, "sums", number, 1, {number, sequence, std::move(text)}, false, 1};
+    if (kind == NoteKind::read) made.note = {};
+    return made;
+}
+
+}   // namespace
+
+TEST_CASE("random schedules: each period has one row, none is missing, nothing is counted twice",
+          "[sums]") {
+    std::uint64_t rows = 0, again = 0, changes = 0;
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+        const auto result = sums_world::World(sums_world::random_plan(seed), seed).run();
+        INFO("seed " << seed << "; again: slatejunction-sums-model 1 " << seed);
+        REQUIRE(result.breach == "");
+        rows += result.rows;
+        again += result.again;
+        changes += result.changes;
+    }
+    CHECK(rows > 10'000);
+    CHECK(again > 50);   // some rows were written by two holders, to the bit the same
+    CHECK(changes > 500);
+}
+
+TEST_CASE("a voter shuts out writes under lower numbers, and says what it has forgotten", "[sums]") {
+    NoteKeeper keeper(true, {});
+    NoteMessage answer;
+    REQUIRE(keeper.receive(ask(NoteKind::read, 5), answer));
+    CHECK(answer.kind == NoteKind::found);
+    CHECK(answer.knows);
+    REQUIRE(keeper.receive(ask(NoteKind::write, 4, 1, "old"), answer));
+    CHECK(answer.kind == NoteKind::passed);
+    REQUIRE(keeper.receive(ask(NoteKind::write, 5, 2, "b"), answer));
+    CHECK(answer.kind == NoteKind::taken);
+    CHECK_FALSE(keeper.receive(ask(NoteKind::write, 5, 1, "a"), answer));   // late
+    REQUIRE(keeper.receive(ask(NoteKind::write, 5, 2, "b"), answer));       // twice
+    CHECK(answer.kind == NoteKind::taken);
+    CHECK_FALSE(keeper.receive(ask(NoteKind::write, 5, 2, "c"), answer));
+    REQUIRE(keeper.receive(ask(NoteKind::read, 6), answer));
+    CHECK(answer.note.text == "b");
+    NoteKeeper forgot(false, {});
+    REQUIRE(forgot.receive(ask(NoteKind::read, 6), answer));
+    CHECK_FALSE(answer.knows);
+    REQUIRE(forgot.receive(ask(NoteKind::write, 6, 1, "c"), answer));
+    REQUIRE(forgot.receive(ask(NoteKind::read, 6), answer));
+    CHECK(answer.knows);
+    CHECK(answer.note.text == "c");
+}
+
+TEST_CASE("notes outlive the process in a file, and a broken one is put aside", "[sums]") {
+    Folder folder;
+    const NoteKeeper::All all{{"sums", {7, {6, 3, std::string("a\0b", 3)}}}};
+    {
+        lease::NotesHome home(folder.path());
+        CHECK(home.kept() == nullptr);
+        REQUIRE(home.keep(all));
+    }
+    {
+        lease::NotesHome home(folder.path());
+        REQUIRE(home.kept());
+        CHECK(*home.kept() == all);
+    }
+    std::string bytes = folder.read("notes");
+    bytes[bytes.size() - 2] ^= 1;
+    folder.write("notes", bytes);
+    lease::NotesHome home(folder.path());
+    CHECK(home.kept() == nullptr);
+    CHECK(home.broken() == folder.file("notes") + ".broken-1");
+    CHECK_FALSE(lease::NotesHome("/nowhere").keep(all));
+}
+
+TEST_CASE("a teller keeps what is not counted, and leaves out what it can't be sure of", "[sums]") {
+    Teller teller(9);
+    CHECK_FALSE(teller.report());
+    teller.cut(10, of(3));
+    teller.cut(10, of(4));   // the wall clock was set back
+    teller.cut(11, of(5));
+    auto report = teller.report();
+    REQUIRE(report);
+    REQUIRE(report->cuts.size() == 3);
+    CHECK(report->cuts[0].period == 0);
+    CHECK(report->cuts[1].values[served] == 3);
+    Report back;
+    REQUIRE(read(write(*report), back));
+    CHECK(back.cuts[2].values == report->cuts[2].values);
+    teller.counted(8, 11);   // another process's
+    CHECK(teller.waiting() == 2);
+    teller.counted(9, 10);
+    report = teller.report();
+    REQUIRE(report->cuts.size() == 2);
+    CHECK(report->cuts[0].values[served] == 3);
+    // Nobody answers any more: half of the time after which it is forgotten it leaves that out.
+    for (std::uint64_t period = 12; period < 10 + kForget / 2; ++period)
+        teller.cut(period, of(6)), teller.report();
+    CHECK(teller.left_out() == 0);
+    for (std::uint64_t period = 12; period <= 11 + kForget; ++period) teller.cut(period, of(6));
+    CHECK(teller.left_out() == 3);
+    CHECK(teller.report()->cuts[0].values[served] == 6);
+}
+
+TEST_CASE("reports that can't be are not read", "[sums]") {
+    Report report;
+    CHECK_FALSE(read("no message", report));
+    CHECK_FALSE(read(write({0, 0, {}}), report));
+    CHECK_FALSE(read(write({1, 0, {{0, of(0)}, {3, of(5)}, {4, of(4)}}}), report));   // counts down
+    CHECK_FALSE(read(write({1, 0, {{0, of(0)}, {4, of(5)}, {3, of(6)}}}), report));
+    CHECK_FALSE(read(write({1, 2, {{1, of(0)}, {4, of(5)}}}), report));
+    CHECK(read(write({1, 1, {{1, of(0)}, {4, of(5)}}}), report));
+}
+
+TEST_CASE("three hundred processes fit into the notes", "[sums]") {
+    // The largest page: as many entries as are taken, each the longest.
+    const lease::Voters voters{{"n0"}, {}, 1};
+    Collector collector({1, 0.1}, {1, 0.05, 0.02, 0.1}, voters, 1);
+    NoteKeeper keeper(true, {});
+    std::size_t longest = 0;
+    const auto settle = [&](double now) {
+        for (bool more = true; more;) {
+            more = false;
+            for (const auto& post : collector.take_posts()) {
+                NoteMessage answer;
+                longest = std::max(longest, post.message.note.text.size());
+                if (keeper.receive(post.message, answer))
+                    collector.on_note(now, now, "n0", answer), more = true;
+            }
+        }
+    };
+    collector.hold(1000, 1000, 7);
+    settle(1000);
+    Values values;
+    values.fill(1'000'000'000'000'000);
+    for (std::uint64_t process = 1; process <= 1000; ++process)
+        collector.on_report(1000.5, 1000.5, "n", {process, 0, {{0, {}}, {1001, values}}});
+    for (double now = 1000.5; now < 1010; now += 0.5) collector.wake(now, now), settle(now);
+    CHECK(collector.done() >= 1005);
+    CHECK(collector.turned_away() > 0);
+    CHECK(longest <= lease::kNoteMost);
+    CHECK(longest > lease::kNoteMost / 2);
+}
+
+TEST_CASE("[fleet_sums] wants leases and a receiver", "[sums]") {
+    Folder folder;
+    operating::Options options;
+    const auto fault = [&](const std::string& text) {
+        const auto all = operating::load(folder.write("options", text), options);
+        return all.empty() ? "" : all.front().substr(folder.path().size());
+    };
+    CHECK(fault("[fleet_sums]\nevery_s = 15\n") ==
+          "/options: [fleet_sums] every_s: wants [lease] voters, one of all ingresses writes them");
+    const std::string fleet = "[peers]\nlisten = 127.0.0.1:7400\nkey_file = k\n[lease]\nvoters = a\n";
+    CHECK(fault(fleet + "[fleet_sums]\nevery_s = 15\n") ==
+          "/options: [fleet_sums] every_s: wants [remote_write] url, where the sums are written");
+    CHECK(fault(fleet +
+                "[remote_write]\nurl = http://127.0.0.1:1/w\n[fleet_sums]\nevery_s = 1\ngrace_s = 2\n") ==
+          "/options: [fleet_sums] grace_s: longer than every_s");
+    CHECK(fault(fleet + "[remote_write]\nurl = http://127.0.0.1:1/w\n[fleet_sums]\nevery_s = 0.1\n")
+              .find("every_s") != std::string::npos);
+    CHECK(fault(fleet + "[remote_write]\nurl = http://127.0.0.1:1/w\n[fleet_sums]\nevery_s = 15\n") == "");
+    CHECK(options.sums.on());
+}
