--- a/src/app/fleet_part.cpp
+++ b/src/app/fleet_part.cpp
@@ -5,9 +5,9 @@
 
 #include <chrono>
 #include <cmath>
-#include <random>
 #include <stdexcept>
 
+#include "app/draw.hpp"
 #include "lease.pb.h"
 #include "lease/clock.hpp"
 
@@ -19,13 +19,6 @@
 
 constexpr double kQuorum = 3;   // times a grant's life in which a majority must have answered
 
-// Drawn anew with each start: the configuration's seed may be the same again.
-std::uint64_t draw_process() {
-    std::random_device device;
-    const std::uint64_t drawn = static_cast<std::uint64_t>(device()) << 32 | device();
-    return drawn == 0 ? 1 : drawn;
-}
-
 std::uint64_t unix_ms() {
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
                                           std::chrono::system_clock::now().time_since_epoch())
@@ -60,7 +53,7 @@
 }   // namespace
 
 FleetPart::FleetPart(const operating::Options& options, const config::Config& config,
-                     ingress::Ingress& ingress, const telemetry::Telemetry* telemetry, net::Timers& timers,
+                     ingress::Ingress& ingress, telemetry::Telemetry* telemetry, net::Timers& timers,
                      Log& log)
     : options_(options),
       name_(config.name),
@@ -72,6 +65,7 @@
       timer_(timers, [this] { wake(); }) {
     ingress_.join(static_cast<ingress::CallTaker&>(*this));
     ingress_.join(static_cast<ingress::Inheritor&>(*this));
+    if (telemetry) telemetry->join([this](metrics::Measures& measures) { count(measures); });
     if (!options.lease.on()) return;
     const auto settings = lease::settings_of(options.lease, config.name);
     const bool votes = settings.voters.all().contains(config.name);
@@ -364,6 +358,51 @@
     return false;
 }
 
+// Measures. -------------------------------------------------------------------------------------------
+
+void FleetPart::count(metrics::Measures& m) {
+    using metrics::Id;
+    const auto set = [&](Id id, double value, std::size_t label = 0) { m.set(id, value, label); };
+    const auto moved = [&](Id id, std::uint64_t now, std::size_t label = 0) {
+        std::uint64_t& seen = counted_[{id, label}];
+        if (now > seen) m.add(id, label, static_cast<double>(now - std::exchange(seen, now)));
+    };
+    std::array<double, metrics::kMembers.size()> states{};
+    double disputed = 0;
+    for (const peers::Member& one : peers_.members().list()) {
+        ++states[static_cast<std::size_t>(one.state)];
+        disputed += one.disputed;
+    }
+    for (std::size_t i = 0; i < states.size(); ++i) set(Id::peers_members, states[i], i);
+    set(Id::peers_disputed, disputed);
+    const peers::Tally& tally = peers_.members().tally();
+    moved(Id::peers_sent, tally.sent);
+    moved(Id::peers_sent_bytes, tally.sent_bytes);
+    constexpr std::size_t kRead = 2;   // kinds of opened datagrams that are read
+    for (std::size_t i = kRead; i < peers::kOpened.size(); ++i)
+        moved(Id::peers_dropped, peers_.seal().counts()[i], i - kRead);
+    moved(Id::peers_dropped, tally.held_back, metrics::kNotRead.size() - 1);
+    if (!leases_) return;
+    const double now = boot_s();
+    double held = 0;
+    for (const lease::View& one : leases_->views()) held += one.state == lease::Seeker::State::held;
+    set(Id::lease_held, held);
+    set(Id::lease_no_quorum, leases_->quorum(now, kQuorum * options_.lease.times.lives_s) ? 0 : 1);
+    moved(Id::lease_changes, leases_->gained(), 0);
+    moved(Id::lease_changes, leases_->lost(), 1);
+    set(Id::drain_waits, draining_ && !drained_ ? 1 : 0);
+    if (announce_) {
+        moved(Id::lease_acts, announce_->taken(), 0);
+        moved(Id::lease_acts, announce_->fenced(), 1);
+        moved(Id::lease_acts, announce_->failed(), 2);
+    }
+    if (!sums_) return;
+    moved(Id::sums_rows, sums_->rows());
+    moved(Id::sums_skipped, sums_->collector().skipped());
+    moved(Id::sums_left_out, sums_->teller().left_out());
+    set(Id::sums_behind, static_cast<double>(sums_->behind()));
+}
+
 // Operators. ------------------------------------------------------------------------------------------
 
 std::string FleetPart::describe() const {
--- a/src/app/fleet_part.hpp
+++ b/src/app/fleet_part.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -26,7 +27,7 @@
     // be used.
     // `telemetry` counts what the fleet's sums are made of; null: there are none.
     FleetPart(const operating::Options& options, const config::Config& config, ingress::Ingress& ingress,
-              const telemetry::Telemetry* telemetry, net::Timers& timers, Log& log);
+              telemetry::Telemetry* telemetry, net::Timers& timers, Log& log);
 
     const char* name() const override { return "peers"; }
     void start() override;
@@ -61,6 +62,7 @@
     void make_sums(const config::Config& config, net::Timers& timers);
     void slot_gained();
     void slot_lost();
+    void count(metrics::Measures& measures);
     std::string describe() const;   // JSON
     std::string drain_lease() const { return "drain:" + peers_.members().self().site; }
 
@@ -79,6 +81,8 @@
     const telemetry::Telemetry* const telemetry_;
     std::unique_ptr<sums::Driver> sums_;
     std::vector<std::function<void(bool)>> conducts_;
+    std::map<std::pair<metrics::Id, std::size_t>, std::uint64_t>
+        counted_;   // as far as the measures have it
     net::Timer timer_;
     bool pumping_ = false, draining_ = false, drained_ = false, left_ = false, told_not_kept_ = false;
 };
--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -121,7 +121,7 @@
     }
     if (options.quota.on())
         parts_.push_back(std::make_unique<QuotaPart>(options, promised.quotas, config, *ingress_, fleet,
-                                                     timers_, *log_));
+                                                     telemetry_.get(), timers_, *log_));
 }
 
 // The last one first: what it still has to say goes through those before it.
--- a/src/app/quota_part.cpp
+++ b/src/app/quota_part.cpp
@@ -1,6 +1,9 @@
 #include "app/quota_part.hpp"
 
 #include <algorithm>
+#include <utility>
+
+#include "app/draw.hpp"
 
 namespace slatejunction::app {
 namespace {
@@ -13,11 +16,18 @@
 
 QuotaPart::QuotaPart(const operating::Options& options, const quota::Settings& settings,
                      const config::Config& config, ingress::Ingress& ingress, lease::Fleet* fleet,
-                     net::Timers& timers, Log& log)
-    : plans_(config.settings.plans), driver_(options.quota, settings, config.seed, timers, log) {
+                     telemetry::Telemetry* telemetry, net::Timers& timers, Log& log)
+    : plans_(config.settings.plans),
+      driver_(options.quota, settings, config.seed ^ draw_process(), timers, log) {
     ingress.join(static_cast<ingress::Judge&>(*this));
     for (const std::string& line : quota::stated(settings))
         log.write(Log::Level::info, net::now(), "%s", line.c_str());
+    if (telemetry)
+        telemetry->join([this](metrics::Measures& measures) {
+            const std::uint64_t now = driver_.bank().empties();
+            measures.add(metrics::Id::counter_losses, 0,
+                         static_cast<double>(now - std::exchange(losses_, now)));
+        });
     if (!fleet) return;
     quota::Driver::Ways ways;
     ways.permit = [fleet] {
--- a/src/app/quota_part.hpp
+++ b/src/app/quota_part.hpp
@@ -5,6 +5,7 @@
 #include "ingress/ingress.hpp"
 #include "lease/fleet.hpp"
 #include "quota/driver.hpp"
+#include "telemetry/telemetry.hpp"
 
 namespace slatejunction::app {
 
@@ -14,7 +15,7 @@
     // `fleet`: null where there are no leases; then each ingress has its own check of the counter only.
     QuotaPart(const operating::Options& options, const quota::Settings& settings,
               const config::Config& config, ingress::Ingress& ingress, lease::Fleet* fleet,
-              net::Timers& timers, Log& log);
+              telemetry::Telemetry* telemetry, net::Timers& timers, Log& log);
 
     const char* name() const override { return "quota"; }
     void start() override { driver_.start(); }
@@ -31,6 +32,7 @@
 
     const std::vector<slatejunction::Plan> plans_;
     quota::Driver driver_;
+    std::uint64_t losses_ = 0;   // counted
 };
 
 }   // namespace slatejunction::app
--- a/src/lease/announce.cpp
+++ b/src/lease/announce.cpp
@@ -130,6 +130,7 @@
                    static_cast<unsigned long long>(last_.number));
     }
     const bool failed = status >= 0 && status / 100 != 2 && status != 409;
+    failed_ += failed;
     if (failed && !std::exchange(failing_, true))
         log_.write(Log::Level::warning, net::now(), "announce: %s takes nothing (status %d)",
                    url_.host_port.c_str(), status);
--- a/src/lease/announce.hpp
+++ b/src/lease/announce.hpp
@@ -24,6 +24,7 @@
     void on(bool held);   // the lease is held from now on, or no longer
     std::uint64_t taken() const { return taken_; }
     std::uint64_t fenced() const { return fenced_; }   // turned down for a number too low
+    std::uint64_t failed() const { return failed_; }
 
   private:
     struct Link;
@@ -39,7 +40,7 @@
     net::Timer timer_, most_;
     std::shared_ptr<Link> link_;
     bool held_ = false, failing_ = false;
-    std::uint64_t sequence_ = 0, taken_ = 0, fenced_ = 0;
+    std::uint64_t sequence_ = 0, taken_ = 0, fenced_ = 0, failed_ = 0;
     Permit last_;
 };
 
--- a/src/metrics/measures.cpp
+++ b/src/metrics/measures.cpp
@@ -70,6 +70,14 @@
             return {{"subset", shape.subsets}};
         case Id::providers:
             return {{"state", all(kStates)}};
+        case Id::peers_members:
+            return {{"state", all(kMembers)}};
+        case Id::peers_dropped:
+            return {{"reason", all(kNotRead)}};
+        case Id::lease_changes:
+            return {{"what", all(kChanges)}};
+        case Id::lease_acts:
+            return {{"result", all(kActs)}};
         case Id::connections:
         case Id::bytes_held:
         case Id::bytes_budget:
--- a/src/metrics/measures.hpp
+++ b/src/metrics/measures.hpp
@@ -34,6 +34,11 @@
 inline constexpr std::array<std::string_view, 2> kSides{"consumer", "provider"};
 inline constexpr std::array<std::string_view, 2> kStates{"ready", "draining"};
 inline constexpr std::array<std::string_view, 2> kLeftOut{"rate", "reader"};
+inline constexpr std::array<std::string_view, 4> kMembers{"alive", "suspected", "gone", "left"};
+inline constexpr std::array<std::string_view, 5> kNotRead{"size", "version", "key", "replayed",
+                                                          "held_back"};
+inline constexpr std::array<std::string_view, 2> kChanges{"gained", "lost"};
+inline constexpr std::array<std::string_view, 3> kActs{"taken", "turned_down", "failed"};
 inline constexpr std::array<std::string_view, 4> kDropped{"thinned", "backlog_full", "rejected", "stopped"};
 inline constexpr std::array<std::string_view, 6> kBatches{"taken",  "put_off",   "rejected",
                                                           "broken", "timed_out", "fallen_back"};
--- a/src/metrics/table.hpp
+++ b/src/metrics/table.hpp
@@ -62,9 +62,24 @@
     limit_passed,
     subset_providers,
     tagged,
+    peers_members,
+    peers_disputed,
+    peers_sent,
+    peers_sent_bytes,
+    peers_dropped,
+    lease_no_quorum,
+    lease_held,
+    lease_changes,
+    lease_acts,
+    drain_waits,
+    sums_rows,
+    sums_skipped,
+    sums_left_out,
+    sums_behind,
+    counter_losses,
 };
 
-inline constexpr std::array<Family, 42> kFamilies{{
+inline constexpr std::array<Family, 57> kFamilies{{
     {"slatejunction_requests_total", Type::counter, "requests", "class,plan,outcome",
      "Finished requests; outcome is served, refused or failed."},
     {"slatejunction_refusals_total", Type::counter, "requests", "class,plan,reason",
@@ -139,6 +154,37 @@
      "Ready providers that the subset's condition names."},
     {"slatejunction_tagged_requests_total", Type::counter, "requests", "tag,value",
      "Finished requests by the tag's values; other stands for those that it does not name."},
+    {"slatejunction_peers_members", Type::gauge, "ingresses", "state",
+     "Ingresses that this one knows of, itself among them, by state; 0 where peers are off."},
+    {"slatejunction_peers_disputed", Type::gauge, "names", "", "Names that two processes claim."},
+    {"slatejunction_peers_sent_total", Type::counter, "datagrams", "",
+     "Datagrams sent to other ingresses."},
+    {"slatejunction_peers_sent_bytes_total", Type::counter, "bytes", "", "Bytes in them."},
+    {"slatejunction_peers_dropped_total", Type::counter, "datagrams", "reason",
+     "Datagrams that came and were dropped unread: size, version, a wrong key, replayed; held_back: not "
+     "sent, over the "
+     "budget."},
+    {"slatejunction_lease_no_quorum", Type::gauge, "", "",
+     "1 while no majority of the voters answers this ingress; 0 else, and where leases are off."},
+    {"slatejunction_lease_held", Type::gauge, "leases", "", "Leases that this ingress holds."},
+    {"slatejunction_lease_changes_total", Type::counter, "changes", "what",
+     "Leases gained and lost here; what ends by itself, on an upgrade or with a drain is not lost."},
+    {"slatejunction_lease_acts_total", Type::counter, "acts", "result",
+     "Acts of [announce]: taken, turned down (another holds the lease by then), failed."},
+    {"slatejunction_drain_waits", Type::gauge, "", "",
+     "1 while a drain that was asked for waits for its slot."},
+    {"slatejunction_fleet_sums_rows_total", Type::counter, "rows", "",
+     "Rows of the fleet's sums that this ingress has handed to the receiver."},
+    {"slatejunction_fleet_sums_skipped_total", Type::counter, "periods", "",
+     "Periods without a row: a majority of the voters had forgotten, or the receiver was gone over a "
+     "change of holder."},
+    {"slatejunction_fleet_sums_left_out_total", Type::counter, "requests", "",
+     "Finished requests that are in no row, as nobody told for long whether they were counted."},
+    {"slatejunction_fleet_sums_behind_periods", Type::gauge, "periods", "",
+     "Ended periods since the last one in which this ingress's counters are in the fleet's sums; 0 where "
+     "they are off."},
+    {"slatejunction_counter_losses_total", Type::counter, "losses", "",
+     "Times that the shared counter had lost what it held, as far as this ingress knows."},
 }};
 
 constexpr const Family& family(Id id) { return kFamilies[static_cast<std::size_t>(id)]; }
--- a/src/quota/sentinel.cpp
+++ b/src/quota/sentinel.cpp
@@ -104,11 +104,11 @@
 }
 
 // The fleet counts more losses than this one did.
-void Sentinel::learn(unsigned number, std::uint64_t epoch) {
+void Sentinel::learn(double now, unsigned number, std::uint64_t epoch) {
     Part& part = parts_[number];
     if (epoch <= part.epoch) return;
-    // The first that is heard is no loss: it may have been long ago.
-    if (part.epoch != 0 && !part.told_here) lost_.push_back(number);
+    // The first that is heard is no loss: it may have been long ago, before this process began.
+    if (part.epoch != 0 && now >= part.fresh_until && !part.told_here) lost_.push_back(number);
     part.epoch = epoch;
     part.found = part.told_here = false;
 }
@@ -121,7 +121,7 @@
         if (message.epoch < part.epoch) {   // it has missed the last one
             tell(now, message.part);
         } else if (!part.doubt) {
-            learn(message.part, message.epoch);
+            learn(now, message.part, message.epoch);
             part.doubt = true;
             read_now(now, message.part);
         }
@@ -130,7 +130,7 @@
     if (message.epoch < part.epoch && !conducts_)   // a new conductor, which does not know of the last one
         posts_.push_back({false, {SentinelMessage::Kind::epoch, message.part, part.epoch}});
     if (message.epoch == part.epoch) part.found = part.told_here = false;   // the conductor has looked
-    learn(message.part, message.epoch);
+    learn(now, message.part, message.epoch);
 }
 
 void Sentinel::wake(double now) {
@@ -139,7 +139,7 @@
         Part& part = parts_[number];
         if (now >= part.read_at + kSentinelEvery) read_now(now, number);
         if (conducts_) {
-            if (part.epoch == 0) part.epoch = 1;
+            if (part.epoch == 0) part.epoch = 1, part.fresh_until = now + 2 * kSentinelTell;
             if (now >= part.tell_at) tell(now, number);
         } else if (part.found && now >= part.told_at + kSentinelAgain) {
             part.told_at = now;
--- a/src/quota/sentinel.hpp
+++ b/src/quota/sentinel.hpp
@@ -78,10 +78,11 @@
         bool found = false, told_here = false;   // a loss that no epoch tells yet; the bank has it already
         bool doubt = false;   // the conductor: somebody has found it, the next read tells
         double read_at = 0, told_at = 0, tell_at = 0;
+        double fresh_until = 0;   // the epoch is this one's own guess until others had time to tell theirs
     };
     void raise(double now, unsigned number);
     void tell(double now, unsigned number);
-    void learn(unsigned number, std::uint64_t epoch);
+    void learn(double now, unsigned number, std::uint64_t epoch);
     void find(double now, unsigned number);
     void read_now(double now, unsigned number);
 
--- a/src/sums/driver.cpp
+++ b/src/sums/driver.cpp
@@ -77,7 +77,7 @@
       answer_timer_(timers, [this] { pump(); }) {}
 
 void Driver::start() {
-    last_period_ = static_cast<std::uint64_t>(std::floor(unix_s() / options_.every_s));
+    first_period_ = last_period_ = static_cast<std::uint64_t>(std::floor(unix_s() / options_.every_s));
     cut();
 }
 
@@ -212,7 +212,6 @@
                                    (i >= worth_offered ? kWorthScale : 1));
         frame.values.push_back(static_cast<double>(row.processes));
         writer_->add(std::move(frame));
-        last_row_ = end;
         handed_ = row.period;
         ++rows_;
         const std::pair<std::string_view, std::string> fields[] = {
--- a/src/sums/driver.hpp
+++ b/src/sums/driver.hpp
@@ -2,6 +2,7 @@
 // tells them to the holder, and, where this is the holder, writes rows by remote write. Decides nothing.
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -39,8 +40,11 @@
 
     const Collector& collector() const { return collector_; }
     const Teller& teller() const { return teller_; }
-    std::uint64_t rows() const { return rows_; }           // handed to the receiver
-    double last_row_unix_s() const { return last_row_; }   // the end of the period of the last one; 0: none
+    std::uint64_t rows() const { return rows_; }   // handed to the receiver
+    // Periods that have ended since the last one in which this ingress is in the sums, or since the start.
+    std::uint64_t behind() const {
+        return last_period_ - std::min(last_period_, std::max(teller_.counted_to(), first_period_));
+    }
 
   private:
     void cut();
@@ -65,8 +69,8 @@
     std::deque<Collector::Answer> answers_;         // paced, so that no burst goes out to all
     net::Timer cut_timer_, tell_timer_, due_timer_, answer_timer_;
     std::uint64_t rows_ = 0, last_period_ = 0, told_anew_ = 0;
+    std::uint64_t first_period_ = 0;
     std::uint64_t handed_ = 0;   // the last row handed over by this writer
-    double last_row_ = 0;
     bool pumping_ = false, stopped_ = false;
 };
 
--- a/src/sums/teller.hpp
+++ b/src/sums/teller.hpp
@@ -49,6 +49,7 @@
     // What is still to be counted; none: nothing.
     std::optional<Report> report();
     void counted(std::uint64_t process, std::uint64_t period);
+    std::uint64_t counted_to() const { return base_.period; }
     std::size_t waiting() const { return cuts_.size(); }
     std::uint64_t left_out() const { return left_out_; }   // requests that are in no sum, see kForget
 
--- a/tests/quota/sentinel_test.cpp
+++ b/tests/quota/sentinel_test.cpp
@@ -127,6 +127,7 @@
     fleet.names.clear();
     fleet.run(2);
     CHECK(fleet.losses[0] == 2);
+    CHECK(fleet.losses[1] == 2);   // its own, and not the one before its start
     CHECK(fleet.losses[2] == 2);
 }
 
