Let an ingress that stood still doubt its stores of the fleet's limits

Need: one that is stopped and woken gave from stores that others had taken over. Change: Room::notice; without a look at the time for 1 s stores count as empty and what owners had said is forgotten; the bound for it is smaller by a burst.

--- a/src/fleetlimit/bound.hpp
+++ b/src/fleetlimit/bound.hpp
@@ -49,8 +49,8 @@
 //
 //   owner lost: every ingress spends its share's store, and the next owner may begin with a full one.
 //
-//   stopped: the same, and it wakes with its old stores and gives the whole rate until its list has
-//   changed.
+//   stopped: the same; it wakes with empty stores (Room::notice), and gives the whole rate until its list
+//   has changed.
 inline Bound bound(const Spec& s, double wanted_credit, std::size_t ingresses, std::size_t apart,
                    double known_s) {
     const double n = static_cast<double>(ingresses), away = static_cast<double>(apart);
@@ -61,7 +61,7 @@
     b.cut_off = held + n * shares + 2 * (s.burst + s.rate * known_s) * away / n;
     b.owner_lost = held + n * shares + s.burst;
     b.restarted = credit(s, wanted_credit) + shares;
-    b.stopped = b.owner_lost + b.restarted + s.burst + s.rate * known_s;
+    b.stopped = b.owner_lost + b.restarted + s.rate * known_s;
     return b;
 }
 
--- a/src/fleetlimit/room.cpp
+++ b/src/fleetlimit/room.cpp
@@ -103,7 +103,20 @@
     return burst - std::max(0.0, account.share_full_at - now) * share_rate(s, settings_.all.size());
 }
 
+// What was kept when this process stood still is old, others may have owned its keys: its stores count as
+// empty, and what owners had said is forgotten.
+void Room::notice(double now) {
+    const double gap = now - std::exchange(noticed_at_, now);
+    if (gap < kStoodStill || gap > 1e17 || there_.size() < 2) return;
+    ++doubts_;
+    for (auto& [id, store] : stores_)
+        if (const Spec& s = *spec(id.limit); s.rate > 0)
+            store.full_at = std::max(store.full_at, now + s.burst / s.rate);
+    for (auto& [id, account] : accounts_) account.known_at = kNever;
+}
+
 double Room::look(double now, std::uint32_t limit, std::uint64_t key, double units) {
+    notice(now);
     const Spec* const s = spec(limit);
     if (!s || s->rate <= 0) return 0;
     units = std::min(units, s->burst);
@@ -239,6 +252,7 @@
 }
 
 void Room::receive(double now, const std::string& from, std::uint64_t process, std::string_view body) {
+    notice(now);
     wire::Batch batch;
     if (!batch.ParseFromArray(body.data(), static_cast<int>(body.size())) || batch.number() == 0 ||
         batch.item_size() > static_cast<int>(kBatchMost)) {
@@ -327,6 +341,7 @@
 }
 
 void Room::wake(double now) {
+    notice(now);
     for (auto& [owner, since] : owed_since_)
         if (since >= 0 && now >= since + kSilentAfter) since = -1;   // silent
     for (auto& [number, report] : out_)
@@ -344,7 +359,7 @@
 }
 
 double Room::due() const {
-    double next = held_due_;
+    double next = there_.size() < 2 ? held_due_ : std::min(held_due_, noticed_at_ + kNoticeEvery);
     for (const auto& [owner, since] : owed_since_)
         if (since >= 0) next = std::min(next, since + kSilentAfter);
     for (const auto& [number, report] : out_)
--- a/src/fleetlimit/room.hpp
+++ b/src/fleetlimit/room.hpp
@@ -23,7 +23,9 @@
 namespace slatejunction::fleetlimit {
 
 inline constexpr double kSilentAfter = 0.25;   // s without an answer, from where on shares are kept to
-inline constexpr double kAgain = 0.08;         // s, until a report that has no answer is sent again
+inline constexpr double kNoticeEvery = 0.25;   // s, between looks at the time at most
+inline constexpr double kStoodStill = 1;   // s without one: others may have taken its keys over meanwhile
+inline constexpr double kAgain = 0.08;     // s, until a report that has no answer is sent again
 inline constexpr double kHeldFor =
     0.5;   // s at most that units far from the limit are kept before they are told
 inline constexpr std::size_t kBatchMost = 30;     // keys in one datagram
@@ -65,7 +67,8 @@
     std::size_t stores() const { return stores_.size(); }
     std::uint64_t forgotten() const { return forgotten_; }   // accounts or stores that were not full
     std::uint64_t unreadable() const { return unreadable_; }
-    std::uint64_t sent() const { return sent_; }   // datagrams
+    std::uint64_t doubts() const { return doubts_; }   // times that this one had stood still
+    std::uint64_t sent() const { return sent_; }       // datagrams
 
   private:
     static constexpr double kNever = -1e18;
@@ -106,6 +109,7 @@
         double heard_at = 0;
     };
 
+    void notice(double now);
     const Spec* spec(std::uint32_t limit) const;
     double part() const;   // of rate and burst that this side has
     double level(const Spec& spec, const Account& account, double now) const;
@@ -133,6 +137,8 @@
     std::vector<Post> posts_;
     std::uint64_t numbers_ = 0, forgotten_ = 0, unreadable_ = 0, sent_ = 0;
     double held_due_ = 1e18;
+    double noticed_at_ = kNever;
+    std::uint64_t doubts_ = 0;
 };
 
 }   // namespace slatejunction::fleetlimit
--- a/tests/fleetlimit/room_test.cpp
+++ b/tests/fleetlimit/room_test.cpp
@@ -63,6 +63,20 @@
         if (before[key] != "n3") REQUIRE(room.owner(1, key) == before[key]);
 }
 
+TEST_CASE("who stood still gives nothing from its old stores", "[fleetlimit]") {
+    Room room({"n0", {"n0", "n1"}, 2, 1000}, 1);
+    room.define(1, {1, 5, 1});
+    room.set_there(0, {"n0", "n1"});
+    std::uint64_t own = 0;
+    while (room.owner(1, own) != "n0") ++own;
+    room.take(0, 1, own, 1);
+    for (double now = 0; now < 3; now += kNoticeEvery) room.wake(now);
+    CHECK(room.doubts() == 0);
+    CHECK(room.look(3, 1, own, 1) == 0);
+    CHECK(room.look(3 + 2 * kStoodStill, 1, own, 1) > 0);
+    CHECK(room.doubts() == 1);
+}
+
 TEST_CASE("what is no report changes nothing", "[fleetlimit]") {
     Room room({"n0", {"n0", "n1"}, 2, 1000}, 1);
     room.define(1, {1, 5, 1});
--- a/tests/fleetlimit/world.hpp
+++ b/tests/fleetlimit/world.hpp
@@ -164,8 +164,8 @@
         const double due = node.room->due();
         if (due > 1e17 || (node.armed <= due && node.armed > now_)) return;
         node.armed = std::max(due, now_ + 1e-4);
-        at(node.armed, [this, i, process = node.process] {
-            if (nodes_[i].process != process || !nodes_[i].room) return;
+        at(node.armed, [this, i, process = node.process, time = node.armed] {
+            if (nodes_[i].process != process || !nodes_[i].room || nodes_[i].armed != time) return;
             nodes_[i].armed = 1e18;
             if (now_ < nodes_[i].stopped_until) {
                 at(nodes_[i].stopped_until, [this, i] { pump(i); });
