--- a/tests/fleetlimit/world.hpp
+++ b/tests/fleetlimit/world.hpp
@@ -5,12 +5,12 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
-#include <queue>
 #include <random>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "events.hpp"
 #include "fleetlimit/room.hpp"
 
 namespace limit_world {
@@ -53,12 +53,7 @@
         if (plan_.fault == Fault::stop) result_.stated = stated.stopped;
         if (plan_.loss > 0 || 2 * plan_.delay_most >= kSilentAfter) result_.stated += stated.late;
         for (std::size_t key = 0; key < plan_.keys; ++key) ask_later(key);
-        while (!events_.empty() && events_.top().time <= plan_.length) {
-            const Event event = events_.top();
-            events_.pop();
-            now_ = event.time;
-            event.call();
-        }
+        events_.run_until(plan_.length);
         if (result_.worst > result_.stated + 1e-6) result_.breach = "over the bound";
         return result_;
     }
@@ -69,19 +64,10 @@
         std::uint64_t process = 0;
         double stopped_until = 0, armed = 1e18;
     };
-    struct Event {
-        double time;
-        std::uint64_t order;
-        std::function<void()> call;
-        bool operator<(const Event& other) const {
-            return time != other.time ? time > other.time : order > other.order;
-        }
-    };
     static std::string name(std::size_t i) { return "n" + std::to_string(i); }
     double draw(double from, double to) {
         return std::uniform_real_distribution<double>(from, to)(random_);
     }
-    void at(double time, std::function<void()> call) { events_.push({time, ++order_, std::move(call)}); }
     std::size_t apart() const { return plan_.fault == Plan::Fault::split ? plan_.ingresses / 2 : 1; }
 
     void begin(std::size_t i) {
@@ -98,13 +84,13 @@
         for (std::size_t j = 0; j < nodes_.size(); ++j)
             if (j == i || (!down_.contains(j) && side(j) == side(i))) there.push_back(name(j));
         std::sort(there.begin(), there.end());
-        if (nodes_[i].room) nodes_[i].room->set_there(now_, there);
+        if (nodes_[i].room) nodes_[i].room->set_there(events_.now(), there);
         pump(i);
     }
     int side(std::size_t i) const { return away_.contains(i) ? 1 : 0; }
     void changed() {
         for (std::size_t i = 0; i < nodes_.size(); ++i)
-            at(now_ + draw(0.2, 1) * plan_.known_s, [this, i] {
+            events_.at(events_.now() + draw(0.2, 1) * plan_.known_s, [this, i] {
                 if (nodes_[i].room) tell_there(i);
             });
     }
@@ -112,63 +98,66 @@
         const double from = draw(10, 20), until = from + draw(3, 15);
         const std::size_t who = random_() % nodes_.size();
         using Fault = Plan::Fault;
-        at(from, [this, who] {
+        events_.at(from, [this, who] {
             if (plan_.fault == Fault::cut) away_ = {who};
             if (plan_.fault == Fault::split)
                 for (std::size_t i = 0; i < apart(); ++i) away_.insert(i);
             if (plan_.fault == Fault::kill || plan_.fault == Fault::restart)
                 nodes_[who].room.reset(), down_.insert(who);
-            if (plan_.fault == Fault::stop) nodes_[who].stopped_until = now_ + 4, down_.insert(who);
+            if (plan_.fault == Fault::stop)
+                nodes_[who].stopped_until = events_.now() + 4, down_.insert(who);
             if (plan_.fault == Fault::restart)
                 down_.clear(), begin(who);
             else
                 changed();
         });
         if (plan_.fault == Fault::cut || plan_.fault == Fault::split)
-            at(until, [this] { away_.clear(), changed(); });
-        if (plan_.fault == Fault::stop) at(from + 4, [this] { down_.clear(), changed(); });
+            events_.at(until, [this] { away_.clear(), changed(); });
+        if (plan_.fault == Fault::stop) events_.at(from + 4, [this] { down_.clear(), changed(); });
     }
     void ask_later(std::size_t key) {
-        at(now_ + std::exponential_distribution<double>(plan_.spec.rate * plan_.load)(random_),
-           [this, key] {
-               ask(key);
-               ask_later(key);
-           });
+        events_.at(
+            events_.now() + std::exponential_distribution<double>(plan_.spec.rate * plan_.load)(random_),
+            [this, key] {
+                ask(key);
+                ask_later(key);
+            });
     }
     void ask(std::size_t key) {
         std::size_t i = draw(0, 1) < plan_.skew * 0.6 ? key % nodes_.size() : random_() % nodes_.size();
         Node& node = nodes_[i];
-        if (!node.room || now_ < node.stopped_until) return;
+        if (!node.room || events_.now() < node.stopped_until) return;
         ++result_.asked;
         double& full_at = stores_[key];
-        const double room = plan_.spec.burst - std::max(0.0, full_at - now_) * plan_.spec.rate;
-        if (node.room->look(now_, 1, key, 1) > 0) {
+        const double room = plan_.spec.burst - std::max(0.0, full_at - events_.now()) * plan_.spec.rate;
+        if (node.room->look(events_.now(), 1, key, 1) > 0) {
             result_.with_room += room >= 1;
             return;
         }
         ++result_.passed;
-        node.room->take(now_, 1, key, 1);
+        node.room->take(events_.now(), 1, key, 1);
         pump(i);
-        full_at = std::max(full_at, now_) + 1 / plan_.spec.rate;
+        full_at = std::max(full_at, events_.now()) + 1 / plan_.spec.rate;
         // The most that was sent beyond rate * t in any window that ends now.
         auto& [sum, last] = over_[key];
-        sum = std::max(0.0, sum - plan_.spec.rate * (now_ - last)) + 1;
-        last = now_;
+        sum = std::max(0.0, sum - plan_.spec.rate * (events_.now() - last)) + 1;
+        last = events_.now();
         result_.worst = std::max(result_.worst, sum - plan_.spec.burst);
     }
     void pump(std::size_t i) {
         Node& node = nodes_[i];
         if (!node.room) return;
-        if (node.room->due() <= now_ && now_ >= node.stopped_until) node.room->wake(now_);
+        if (node.room->due() <= events_.now() && events_.now() >= node.stopped_until)
+            node.room->wake(events_.now());
         for (const auto& post : node.room->take_posts()) send(i, std::stoul(post.to.substr(1)), post.body);
         const double due = node.room->due();
-        if (due > 1e17 || (node.armed <= due && node.armed > now_)) return;
-        node.armed = std::max(due, now_ + 1e-4);
-        at(node.armed, [this, i, process = node.process, time = node.armed] {
+        if (due > 1e17 || (node.armed <= due && node.armed > events_.now())) return;
+        node.armed = std::max(due, events_.now() + 1e-4);
+        events_.at(node.armed, [this, i, process = node.process, time = node.armed] {
             if (nodes_[i].process != process || !nodes_[i].room || nodes_[i].armed != time) return;
             nodes_[i].armed = 1e18;
-            if (now_ < nodes_[i].stopped_until) {
-                at(nodes_[i].stopped_until, [this, i] { pump(i); });
+            if (events_.now() < nodes_[i].stopped_until) {
+                events_.at(nodes_[i].stopped_until, [this, i] { pump(i); });
                 return;
             }
             pump(i);
@@ -180,23 +169,24 @@
         const int copies = draw(0, 1) < plan_.twice ? 2 : 1;
         for (int i = 0; i < copies; ++i) {
             if (draw(0, 1) < plan_.loss) continue;
-            at(now_ + draw(0.0002, plan_.delay_most),
-               [this, from, to, body, process = nodes_[from].process, for_process = nodes_[to].process] {
-                   arrive(from, to, process, for_process, body);
-               });
+            events_.at(
+                events_.now() + draw(0.0002, plan_.delay_most),
+                [this, from, to, body, process = nodes_[from].process, for_process = nodes_[to].process] {
+                    arrive(from, to, process, for_process, body);
+                });
         }
     }
     void arrive(std::size_t from, std::size_t to, std::uint64_t process, std::uint64_t for_process,
                 const std::string& body) {
         Node& node = nodes_[to];
         if (!node.room || node.process != for_process) return;   // peers seal for one process
-        if (now_ < node.stopped_until) {
-            at(node.stopped_until, [this, from, to, process, for_process, body] {
+        if (events_.now() < node.stopped_until) {
+            events_.at(node.stopped_until, [this, from, to, process, for_process, body] {
                 arrive(from, to, process, for_process, body);
             });
             return;
         }
-        node.room->receive(now_, name(from), process, body);
+        node.room->receive(events_.now(), name(from), process, body);
         pump(to);
     }
 
@@ -204,12 +194,11 @@
     std::mt19937_64 random_;
     std::vector<Node> nodes_;
     std::vector<std::string> names_;
-    std::priority_queue<Event> events_;
+    Events events_;
     std::vector<double> stores_;   // exact: full again at
     std::vector<std::pair<double, double>> over_;
     std::set<std::size_t> away_, down_;
-    std::uint64_t order_ = 0, processes_ = 0;
-    double now_ = 0;
+    std::uint64_t processes_ = 0;
     Result result_;
 };
 
--- a/tests/sums/world.hpp
+++ b/tests/sums/world.hpp
@@ -8,12 +8,12 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "events.hpp"
 #include "sums/collector.hpp"
 
 namespace sums_world {
@@ -65,20 +65,22 @@
         tick();
         gain();
         every(plan_.kill_every, [this] { kill(); });
-        every(plan_.change_every, [this] { lose(), at(now_ + draw(0.1, 1.5), [this] { gain(); }); });
+        every(plan_.change_every,
+              [this] { lose(), events_.at(events_.now() + draw(0.1, 1.5), [this] { gain(); }); });
         every(plan_.stop_every, [this] {
-            if (holder_ < nodes_.size()) nodes_[holder_].stopped_until = now_ + draw(0.1, 3);
+            if (holder_ < nodes_.size()) nodes_[holder_].stopped_until = events_.now() + draw(0.1, 3);
         });
-        every(plan_.cut_every,
-              [this] { cut_ = pick(), at(now_ + draw(0.2, 3), [this] { cut_ = nodes_.size(); }); });
-        run_until(plan_.length);
+        every(plan_.cut_every, [this] {
+            cut_ = pick(), events_.at(events_.now() + draw(0.2, 3), [this] { cut_ = nodes_.size(); });
+        });
+        events_.run_until(plan_.length);
         // Calm again: everything that is still told is counted.
         plan_.loss = plan_.twice = 0;
         calm_ = true;
         cut_ = nodes_.size();
         for (Node& node : nodes_) node.stopped_until = 0;
         if (holder_ == nodes_.size()) gain();
-        run_until(plan_.length + 40 * kEvery);
+        events_.run_until(plan_.length + 40 * kEvery);
         judge();
         result_.rows = values_.size();
         return result_;
@@ -98,39 +100,21 @@
         std::uint64_t period = 0;
         std::deque<sums::Row> waiting;   // handed to a receiver that is behind
     };
-    struct Event {
-        double time;
-        std::uint64_t order;
-        std::function<void()> call;
-        bool operator<(const Event& other) const {
-            return time != other.time ? time > other.time : order > other.order;
-        }
-    };
     static std::string name(std::size_t i) { return "n" + std::to_string(i); }
     static std::size_t number_of(const std::string& name) { return std::stoul(name.substr(1)); }
     double draw(double from, double to) {
         return std::uniform_real_distribution<double>(from, to)(random_);
     }
     std::size_t pick() { return random_() % nodes_.size(); }
-    double unix_s() const { return kStart + now_; }
-    void at(double time, std::function<void()> call) { events_.push({time, ++order_, std::move(call)}); }
+    double unix_s() const { return kStart + events_.now(); }
     void every(double s, std::function<void()> call) {
         if (s > 1e8) return;
-        at(now_ + draw(0.5, 1.5) * s, [this, s, call = std::move(call)] {
+        events_.at(events_.now() + draw(0.5, 1.5) * s, [this, s, call = std::move(call)] {
             if (calm_) return;
             call();
             every(s, call);
         });
     }
-    void run_until(double time) {
-        while (!events_.empty() && events_.top().time <= time) {
-            const Event event = events_.top();
-            events_.pop();
-            now_ = event.time;
-            event.call();
-        }
-        now_ = time;
-    }
 
     void begin(std::size_t i) {
         Node& node = nodes_[i];
@@ -145,12 +129,13 @@
         const bool knows = first || plan_.remembers;
         node.keeper = std::make_unique<lease::NoteKeeper>(
             knows, first || !plan_.remembers ? lease::NoteKeeper::All{} : node.keeper->kept());
-        node.votes_from = knows ? now_ : now_ + lease::amnesia_s(times_);
+        node.votes_from = knows ? events_.now() : events_.now() + lease::amnesia_s(times_);
     }
     void kill() {
         const std::size_t i = pick();
         Node& node = nodes_[i];
-        if (i == holder_) holder_ = nodes_.size(), at(now_ + draw(0.5, 1.5), [this] { gain(); });
+        if (i == holder_)
+            holder_ = nodes_.size(), events_.at(events_.now() + draw(0.5, 1.5), [this] { gain(); });
         gone_.push_back(node.values);
         count(node);
         node.stopped_until = 0;
@@ -161,7 +146,7 @@
         holder_ = pick();
         nodes_[holder_].stopped_until = 0;
         ++result_.changes;
-        nodes_[holder_].collector->hold(now_, unix_s(), ++number_);
+        nodes_[holder_].collector->hold(events_.now(), unix_s(), ++number_);
         pump(holder_);
     }
     void lose() {
@@ -176,22 +161,23 @@
     void tick() {
         for (std::size_t i = 0; i < nodes_.size(); ++i) {
             Node& node = nodes_[i];
-            if (now_ < node.stopped_until) continue;
+            if (events_.now() < node.stopped_until) continue;
             if (!calm_ && random_() % 3 == 0)
                 for (std::uint64_t& value : node.values) value += random_() % 5;
             const auto period = static_cast<std::uint64_t>(unix_s() / kEvery);
             if (period > node.period) node.teller->cut(node.period = period, node.values);
             if (random_() % 4 == 0) tell(i);
-            if (node.collector->due(now_, unix_s()) <= now_) node.collector->wake(now_, unix_s());
+            if (node.collector->due(events_.now(), unix_s()) <= events_.now())
+                node.collector->wake(events_.now(), unix_s());
             pump(i);
         }
-        at(now_ + 0.02, [this] { tick(); });
+        events_.at(events_.now() + 0.02, [this] { tick(); });
     }
     void tell(std::size_t i) {
         const auto report = nodes_[i].teller->report();
         if (!report || holder_ == nodes_.size()) return;
         send(i, holder_, [this, i, report = *report](Node& to) {
-            to.collector->on_report(now_, unix_s(), name(i), report);
+            to.collector->on_report(events_.now(), unix_s(), name(i), report);
         });
     }
     void send(std::size_t from, std::size_t to, std::function<void(Node&)> call) {
@@ -202,16 +188,16 @@
         const int copies = draw(0, 1) < plan_.twice ? 2 : 1;
         for (int i = 0; i < copies; ++i) {
             if (draw(0, 1) < plan_.loss || from == cut_ || to == cut_) continue;
-            at(now_ + draw(0.001, calm_ ? 0.02 : plan_.delay_most),
-               [this, to, call, process = nodes_[to].process] { arrive(to, process, call); });
+            events_.at(events_.now() + draw(0.001, calm_ ? 0.02 : plan_.delay_most),
+                       [this, to, call, process = nodes_[to].process] { arrive(to, process, call); });
         }
     }
     // What is for an earlier process of that name is not read by this one (peers seal it for one process).
     void arrive(std::size_t to, std::uint64_t process, const std::function<void(Node&)>& call) {
         Node& node = nodes_[to];
         if (node.process != process) return;
-        if (now_ < node.stopped_until) {
-            at(node.stopped_until, [this, to, process, call] { arrive(to, process, call); });
+        if (events_.now() < node.stopped_until) {
+            events_.at(node.stopped_until, [this, to, process, call] { arrive(to, process, call); });
             return;
         }
         call(node);
@@ -220,9 +206,9 @@
     void ask(std::size_t i, std::size_t voter, const lease::NoteMessage& message) {
         send(i, voter, [this, i, voter, message](Node& to) {
             lease::NoteMessage answer;
-            if (!to.keeper || now_ < to.votes_from || !to.keeper->receive(message, answer)) return;
+            if (!to.keeper || events_.now() < to.votes_from || !to.keeper->receive(message, answer)) return;
             send(voter, i, [this, voter, answer](Node& asker) {
-                asker.collector->on_note(now_, unix_s(), name(voter), answer);
+                asker.collector->on_note(events_.now(), unix_s(), name(voter), answer);
             });
         });
     }
@@ -242,15 +228,15 @@
     void write_row(std::size_t i, const sums::Row& row) {
         if (i != holder_) return;
         nodes_[i].waiting.push_back(row);
-        at(now_ + draw(0.01, calm_ ? 0.05 : plan_.behind_most),
-           [this, i, process = nodes_[i].process, number = number_] {
-               Node& node = nodes_[i];
-               if (node.process != process || i != holder_ || number != number_) return;
-               const sums::Row first = node.waiting.front();   // a sender keeps their order
-               node.waiting.pop_front();
-               take(first);
-               node.collector->on_sent(first.period);
-           });
+        events_.at(events_.now() + draw(0.01, calm_ ? 0.05 : plan_.behind_most),
+                   [this, i, process = nodes_[i].process, number = number_] {
+                       Node& node = nodes_[i];
+                       if (node.process != process || i != holder_ || number != number_) return;
+                       const sums::Row first = node.waiting.front();   // a sender keeps their order
+                       node.waiting.pop_front();
+                       take(first);
+                       node.collector->on_sent(first.period);
+                   });
     }
     void take(const sums::Row& row) {
         const auto [at, made] = values_.emplace(row.period, row.values);
@@ -297,12 +283,11 @@
     std::mt19937_64 random_;
     lease::Voters voters_;
     std::vector<Node> nodes_;
-    std::priority_queue<Event> events_;
+    Events events_;
     std::map<std::uint64_t, sums::Values> values_;   // what the receiver has, by period
     std::vector<sums::Values> gone_;                 // of processes that were killed
     std::size_t holder_ = nodes_.size(), cut_ = nodes_.size();
-    std::uint64_t order_ = 0, processes_ = 0, number_ = 0, left_out_ = 0;
-    double now_ = 0;
+    std::uint64_t processes_ = 0, number_ = 0, left_out_ = 0;
     bool calm_ = false;
     Result result_;
 };
