Read a fleet limit's datagram once; one place for generations and for names of notes

The room parsed each datagram twice, the sentinel had the bank's generations again, the collector named its notes in two places. Behaviour as before: 300 schedules of the limits and 200 of the sums give the same lines to the byte; 112,000 assertions of the three rooms and the started processes' cases pass.

--- a/src/fleetlimit/room.cpp
+++ b/src/fleetlimit/room.cpp
@@ -260,15 +260,15 @@
         return;
     }
     if (batch.answer())
-        answered(now, batch.number(), body);
+        answered(now, batch);
     else
-        answer(now, from, process, batch.number(), body);
+        answer(now, from, process, batch);
 }
 
 // Each report counts once, however often it comes; one that is so old that its answer is forgotten has
 // none.
-void Room::answer(double now, const std::string& from, std::uint64_t process, std::uint64_t number,
-                  std::string_view body) {
+void Room::answer(double now, const std::string& from, std::uint64_t process, const wire::Batch& batch) {
+    const std::uint64_t number = batch.number();
     if (reporters_.size() >= kReporters && !reporters_.contains(process))
         reporters_.erase(std::min_element(
             reporters_.begin(), reporters_.end(),
@@ -278,8 +278,6 @@
     for (const auto& [known, text] : reporter.answers)
         if (known == number) return posts_.push_back({from, text});
     if (number + kRemembered <= reporter.highest) return;
-    wire::Batch batch;
-    if (!batch.ParseFromArray(body.data(), static_cast<int>(body.size()))) return;
     wire::Batch made;
     made.set_answer(true);
     made.set_number(number);
@@ -299,11 +297,9 @@
     posts_.push_back({from, reporter.answers.back().second});
 }
 
-void Room::answered(double now, std::uint64_t number, std::string_view body) {
-    const auto at = out_.find(number);
+void Room::answered(double now, const wire::Batch& batch) {
+    const auto at = out_.find(batch.number());
     if (at == out_.end()) return;   // come twice, or given up
-    wire::Batch batch;
-    if (!batch.ParseFromArray(body.data(), static_cast<int>(body.size()))) return;
     const Report report = std::move(at->second);
     out_.erase(at);
     owed_since_.erase(report.owner);
@@ -324,7 +320,7 @@
             if (one->second.unreported + one->second.tally > 0) one->second.since = now;
             this->report(now, id, one->second);
         }
-    for (const std::string& owner : std::vector<std::string>{report.owner}) flush(now, owner);
+    flush(now, report.owner);
 }
 
 // Whether the owner has counted it is not known: it is told again to the next one, to the key's loss.
--- a/src/fleetlimit/room.hpp
+++ b/src/fleetlimit/room.hpp
@@ -22,6 +22,10 @@
 
 namespace slatejunction::fleetlimit {
 
+namespace wire {
+class Batch;
+}
+
 inline constexpr double kSilentAfter = 0.25;   // s without an answer, from where on shares are kept to
 inline constexpr double kNoticeEvery = 0.25;   // s, between looks at the time at most
 inline constexpr double kStoodStill = 1;   // s without one: others may have taken its keys over meanwhile
@@ -117,9 +121,8 @@
     double spend(double now, const Id& id, const Spec& spec, double units, bool knows, double hint);
     void report(double now, const Id& id, Account& account);
     void flush(double now, const std::string& owner);
-    void answer(double now, const std::string& from, std::uint64_t process, std::uint64_t number,
-                std::string_view body);
-    void answered(double now, std::uint64_t number, std::string_view body);
+    void answer(double now, const std::string& from, std::uint64_t process, const wire::Batch& batch);
+    void answered(double now, const wire::Batch& batch);
     void give_up(double now, Report& report);
     template <class Table, class Full>
     void forget(Table& table, Full full);
--- a/src/quota/bank.cpp
+++ b/src/quota/bank.cpp
@@ -60,7 +60,6 @@
     return "q." + hex(customer) + "." + std::to_string(generation);
 }
 
-std::int64_t generation_of(double now) { return static_cast<std::int64_t>(std::floor(now / kGeneration)); }
 double start_of(std::int64_t generation) { return static_cast<double>(generation) * kGeneration; }
 
 }   // namespace
--- a/src/quota/bank.hpp
+++ b/src/quota/bank.hpp
@@ -9,6 +9,7 @@
 // calls.
 #pragma once
 
+#include <cmath>
 #include <cstdint>
 #include <deque>
 #include <random>
@@ -19,7 +20,10 @@
 
 namespace slatejunction::quota {
 
-inline constexpr double kGeneration = 50;        // s; names live 60 s at most
+inline constexpr double kGeneration = 50;   // s; names live 60 s at most
+inline std::int64_t generation_of(double unix_s) {
+    return static_cast<std::int64_t>(std::floor(unix_s / kGeneration));
+}
 inline constexpr unsigned kIngressesMost = 11;   // digits of the beats in a total that is exact to 7
 inline constexpr double kBeatEvery = 1;          // s
 inline constexpr double kBeatLife = 3;           // s
--- a/src/quota/sentinel.cpp
+++ b/src/quota/sentinel.cpp
@@ -12,8 +12,6 @@
 
 constexpr double kNear = 0.5;   // totals are whole numbers
 
-std::int64_t generation_at(double now) { return static_cast<std::int64_t>(std::floor(now / kGeneration)); }
-
 }   // namespace
 
 double sentinel_within_s(double call_s, double way_s) { return kSentinelEvery + 2 * call_s + 2 * way_s; }
@@ -66,7 +64,7 @@
 
 void Sentinel::read_now(double now, unsigned number) {
     parts_[number].read_at = now;
-    adds_.push_back({number, generation_at(now), 0});
+    adds_.push_back({number, generation_of(now), 0});
 }
 
 void Sentinel::on_read(double now, unsigned number, std::int64_t generation, double total) {
--- a/src/sums/collector.cpp
+++ b/src/sums/collector.cpp
@@ -8,12 +8,6 @@
 namespace slatejunction::sums {
 namespace {
 
-std::vector<std::string> names() {
-    std::vector<std::string> all{"sums"};
-    for (std::size_t page = 0; page < kPages; ++page) all.push_back("sums." + std::to_string(page));
-    return all;
-}
-
 template <class Repeated>
 bool take_values(const Repeated& from, Values& to) {
     if (from.size() != static_cast<int>(kValues)) return false;
@@ -23,6 +17,12 @@
 
 }   // namespace
 
+std::vector<std::string> Collector::names() {
+    std::vector<std::string> all{kTotals};
+    for (std::size_t page = 0; page < kPages; ++page) all.push_back(page_name(page));
+    return all;
+}
+
 double row_within_s(const Settings& settings, const lease::Times& times, double round_trip_s) {
     return settings.grace_s + 3 * (round_trip_s + 1.2 * lease::ask_s(times));
 }
--- a/src/sums/collector.hpp
+++ b/src/sums/collector.hpp
@@ -91,6 +91,7 @@
     };
     static std::string page_name(std::size_t page) { return "sums." + std::to_string(page); }
     static constexpr const char* kTotals = "sums";
+    static std::vector<std::string> names();   // of all notes
     static std::size_t page_of(std::uint64_t process) { return process % kPages; }
 
     std::uint64_t period_at(double unix_s) const;   // the last one that has ended
