Leave a request's buffer alone once its answer has come while a piece was passed on

Cause: consumer::Session::pass_on() holds a view into its buffer over sink->put(). Where the write finds the provider's connection broken, the call ends and the answer comes within put(): answered() replaces the buffer. With further pieces behind the one that was put the old view's rest was then taken off the new, empty buffer: its size wrapped round and memmove() went to a null address. So one reset by a provider within a chunked request over 64 KiB, found out by a write, ended the program and all that it held. The same assignment let the sink's last word override a hold that came within put().

Now whatever put() may have ended is looked at right after it, at both ends of a body (provider::Connection::pass_on() had the check, behind the assignment alone).

The mirrored case of a large answer passes before and after.

--- a/src/consumer/session.cpp
+++ b/src/consumer/session.cpp
@@ -186,7 +186,11 @@
         const http::BodyReader::State state = reader_.feed(in, part);
         if (!part.empty()) {
             invocation->passed = true;
-            held_ = !sink->put(part);
+            const bool more = sink->put(part);
+            // The sink may have found its connection broken: then the request has its answer by now, or the
+            // session its end, and nothing of what was read is left.
+            if (!uploading_) return;
+            held_ = held_ || !more;
         }
         if (state == http::BodyReader::State::bad) {
             const std::uint64_t number = std::exchange(number_, 0);
--- a/src/provider/connection.cpp
+++ b/src/provider/connection.cpp
@@ -222,9 +222,11 @@
     std::string_view in = buffer_.view(), part;
     while (passing_ && !held_ && !in.empty() && reader_.state() == http::BodyReader::State::more) {
         reader_.feed(in, part);
-        if (!part.empty()) held_ = !sink->put(part);
+        if (part.empty()) continue;
+        const bool more = sink->put(part);
+        if (!passing_) return;   // the sink has gone
+        held_ = held_ || !more;
     }
-    if (!passing_) return;   // the sink has gone
     buffer_.drop_front(buffer_.view().size() - in.size());
     if (held_) timer_.disarm();   // it is the consumer's time
     if (reader_.state() != http::BodyReader::State::more)
--- /dev/null
+++ b/tests/ingress/reentry_test.cpp
@@ -0,0 +1,192 @@
+// What a callback may do to those that are still on the stack above it, and values that no arithmetic can
+// take: each of these has ended or held the program, or could.
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <limits>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "consumer/session.hpp"
+#include "directory/listing.hpp"
+#include "directory/watch.hpp"
+#include "net/timers.hpp"
+#include "provider/pool.hpp"
+
+using namespace slatejunction;
+
+namespace {
+
+// A transport that writes nothing: what it was given, and whether it goes on taking it.
+struct Wire : net::Transport {
+    bool send(std::span<const std::string_view> parts) override {
+        if (broken) return false;
+        for (const std::string_view part : parts) sent += part;
+        return true;
+    }
+    bool unsent() const override { return full; }
+    void resume() override {}
+    void finish() override {}
+    void drop(std::size_t) override {}
+    void close() override { closed = true; }
+    std::string sent;
+    bool broken = false, full = false, closed = false;
+};
+
+struct Door : consumer::SessionHost {
+    std::uint64_t on_invocation(std::shared_ptr<consumer::Consumer>,
+                                std::shared_ptr<consumer::Invocation> invocation) override {
+        taken.push_back(std::move(invocation));
+        if (on_taken) on_taken();
+        return taken.size();
+    }
+    void on_left(std::uint64_t number) override { left.push_back(number); }
+    bool ready() const override { return true; }
+    bool stopping() const override { return false; }
+    const slatejunction::Settings& settings() const override { return known; }
+    bool is_open(std::string_view) const override { return false; }
+    http::Budget& budget() override { return bytes; }
+    void on_bad_request(int, std::string_view) override {}
+    void on_accept_failed(const char*) override {}
+    void on_closed(consumer::Session&) override {
+        if (on_end) on_end();
+    }
+
+    Door() {
+        known.classes.resize(1);
+        known.classes[0].name = "send";
+        known.classes[0].effect = slatejunction::Effect::side_effect;
+    }
+    slatejunction::Settings known;
+    http::Budget bytes{32 << 20};
+    std::vector<std::shared_ptr<consumer::Invocation>> taken;
+    std::vector<std::uint64_t> left;
+    std::function<void()> on_taken, on_end;
+};
+
+struct Taker : consumer::Sink {
+    bool put(std::string_view bytes) override {
+        got += bytes;
+        return on_put ? on_put() : true;
+    }
+    void put_end(bool whole) override { ended = whole ? "whole" : "cut"; }
+    std::string got, ended;
+    std::function<bool()> on_put;
+};
+
+void feed(net::Protocol& protocol, std::string_view bytes) {
+    while (!bytes.empty()) {
+        const auto room = protocol.space();
+        REQUIRE(!room.empty());
+        const std::size_t size = bytes.copy(room.data(), room.size());
+        bytes.remove_prefix(size);
+        protocol.on_bytes(size);
+    }
+}
+
+std::string head(const std::string& framing) {
+    return "POST /send?customer=0000000000000001 HTTP/1.1\r\nX-Request-Id: a1\r\nX-Class: send\r\n"
+           "X-Deadline: 4\r\nX-Call-Terms: units=1,spread=1,first=0\r\n" +
+           framing + "\r\n\r\n";
+}
+
+const std::string kChunked = head("Transfer-Encoding: chunked");
+
+std::size_t count(const std::string& text, const std::string& part) {
+    std::size_t times = 0;
+    for (std::size_t at = 0; (at = text.find(part, at)) != std::string::npos; at += part.size()) ++times;
+    return times;
+}
+
+}   // namespace
+
+// A provider that broke is found out by the write of a piece: the answer comes, and with it the buffer goes
+// that the piece and what lies behind it stand in.
+TEST_CASE("an answer that comes while a piece of its request is passed on") {
+    Door door;
+    Wire wire;
+    const auto session = std::make_shared<consumer::Session>(door);
+    session->attach(wire);
+    feed(*session, kChunked + "15f90\r\n");
+    REQUIRE(door.taken.size() == 1);
+    const auto taker = std::make_shared<Taker>();
+    taker->on_put = [&] {
+        session->answer({503, 1, {}, {}});
+        return true;
+    };
+    door.taken[0]->rest->pull(taker);
+    feed(*session, std::string(1000, 'x'));
+    CHECK(taker->got.size() == 1000);
+    CHECK(count(wire.sent, "HTTP/1.1 503 ") == 1);
+    CHECK(session->closing());
+}
+
+TEST_CASE("an answer that comes while one of several pieces is passed on") {
+    Door door;
+    Wire wire;
+    const auto session = std::make_shared<consumer::Session>(door);
+    session->attach(wire);
+    feed(*session, kChunked + "15f90\r\n");
+    const auto taker = std::make_shared<Taker>();
+    door.taken.at(0)->rest->pull(taker);
+    feed(*session, std::string(90000, 'x') + "\r\n");
+    REQUIRE(taker->got.size() == 90000);
+    taker->on_put = [&] {
+        session->answer({503, 1, {}, {}});
+        return false;   // as of a sink that is told to hold: nothing of it counts any more
+    };
+    feed(*session, "5\r\nhello\r\n5\r\nworld\r\n0\r\n\r\n");
+    CHECK(taker->got.size() == 90005);
+    CHECK(taker->ended.empty());
+    CHECK(count(wire.sent, "HTTP/1.1 ") == 1);
+    CHECK(session->closing());
+    door.taken.clear();
+    CHECK(door.bytes.used() == 0);
+}
+
+namespace {
+
+struct Calls : provider::ConnectionHost {
+    void on_call_end(provider::Connection&, provider::CallTag, const provider::CallEnd& end) override {
+        last = end.outcome;
+        if (end.rest) rest = end.rest;
+        if (on_end) on_end();
+    }
+    void on_free(provider::Connection&) override { ++freed; }
+    void on_closed(provider::Connection&) override { ++closed; }
+    slatejunction::Outcome last = slatejunction::Outcome::ok;
+    std::shared_ptr<consumer::Source> rest;
+    std::function<void()> on_end;
+    int freed = 0, closed = 0;
+};
+
+}   // namespace
+
+TEST_CASE("a large answer whose consumer goes while a piece is passed on") {
+    Calls calls;
+    Wire wire;
+    net::Timers timers;
+    http::Budget bytes{32 << 20};
+    const std::vector<std::string> fields;
+    auto connection = std::make_shared<provider::Connection>(calls, timers, bytes, "s-1", "x:1", fields);
+    connection->attach(wire);
+    connection->begin({}, std::make_shared<consumer::Invocation>(), {}, net::now() + 9, 0);
+    connection->write_call();
+    const auto taker = std::make_shared<Taker>();
+    calls.on_end = [&] { calls.rest->pull(taker); };
+    feed(*connection, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n15f90\r\n");
+    REQUIRE(calls.rest);
+    taker->on_put = [&] {
+        calls.rest->cancel();
+        calls.rest.reset();
+        return false;
+    };
+    feed(*connection, std::string(1000, 'x'));
+    CHECK(calls.closed == 1);
+    CHECK(calls.freed == 0);
+    CHECK(wire.closed);
+    CHECK(taker->ended.empty());
+}
