Hold the session while it goes on to pass a request on

Cause: consumer::Session::go_on() looks at its own fields after pass_on(), which held the session only for itself. provider::Connection::on_sent() calls it through the request alone; where the provider and the consumer break at once, the write of a piece ends the call, the answer ends the session, and request and session are freed before go_on() returns: a read of freed memory, and by chance a call through it.

Connection::passed() holds its connection likewise: a timer reaches it, and the sink's last word lets go of the last owner. Nothing was read after that there; now nothing can be.

Without the change "a session that ends as it goes on to pass its request on" ends under the sanitizers with "member access within address which does not point to an object of type 'Session'"; with it it passes.

--- a/src/consumer/session.cpp
+++ b/src/consumer/session.cpp
@@ -170,6 +170,8 @@
 
 void Session::go_on() {
     if (rest_) return;
+    // Who calls may hold it by the request alone, which is forgotten once both sides have gone.
+    const auto keep = shared_from_this();
     held_ = false;
     moved_ = net::now();
     if (!uploading_) return;
--- a/src/provider/connection.cpp
+++ b/src/provider/connection.cpp
@@ -235,6 +235,7 @@
 
 // As after a call that was carried whole: the connection is free before its end is told.
 void Connection::passed(bool whole) {
+    const auto keep = shared_from_this();
     passing_ = false;
     timer_.disarm();
     const auto sink = sink_.lock();
--- a/tests/ingress/reentry_test.cpp
+++ b/tests/ingress/reentry_test.cpp
@@ -147,6 +147,33 @@
     CHECK(door.bytes.used() == 0);
 }
 
+// Both sides break at once: nobody holds the session any more but the calls on the stack.
+TEST_CASE("a session that ends as it goes on to pass its request on") {
+    Door door;
+    Wire wire;
+    auto session = std::make_shared<consumer::Session>(door);
+    session->attach(wire);
+    feed(*session, kChunked + "15f90\r\n");
+    const auto taker = std::make_shared<Taker>();
+    consumer::Source* const source = door.taken.at(0)->rest.get();
+    source->pull(taker);
+    feed(*session, std::string(90000, 'x') + "\r\n");
+    taker->on_put = [] { return false; };
+    feed(*session, "5\r\nhello\r\n5\r\nworld\r\n");   // the second one waits until the first is written
+    REQUIRE(taker->got.size() == 90005);
+    const std::weak_ptr<consumer::Session> there = session;
+    door.on_end = [&] { session.reset(); };
+    taker->on_put = [&] {
+        wire.broken = true;
+        there.lock()->answer({503, 1, {}, {}});
+        door.taken.clear();
+        return true;
+    };
+    source->go_on();
+    CHECK(wire.closed);
+    CHECK(there.expired());
+}
+
 namespace {
 
 struct Calls : provider::ConnectionHost {
