Pass a request's rest on once the host has taken the request, not while it takes it

Cause: where a connection stands idle the host pulls the rest of a large request while on_invocation() is still running. A bad chunk that had come already was then found before the session knew the request's number: the session answered 400 and nobody told the host that the consumer was gone. The request stayed open with a provider that waited for the rest until it was due (over 1000 s for a body without a length), and the host owed an answer that came as a second one on a connection already answered. Ends of the session within on_invocation() were lost likewise.

While the request is handed on a pull is only noted; the rest moves right after, with the number known.

Without the change "a bad body that has come already counts once the request is taken" fails (the host is told of no one that left); with it it passes.

--- a/src/consumer/session.cpp
+++ b/src/consumer/session.cpp
@@ -155,21 +155,26 @@
     invocation->bytes = std::move(buffer_);
     buffer_ = std::move(next);
     if (health) return answer({host_.ready() ? 200 : 503, 0, {}, {}});
+    const auto keep = shared_from_this();
+    handing_on_ = true;
     const std::uint64_t number =
         host_.on_invocation(std::static_pointer_cast<Session>(shared_from_this()), std::move(invocation));
-    if (busy_) number_ = number;
+    handing_on_ = false;
+    if (!busy_) return;
+    number_ = number;
+    if (!sink_.expired()) go_on();
 }
 
 // A request's rest. -----------------------------------------------------------------------------------
 
 void Session::pull(std::weak_ptr<Sink> sink) {
     sink_ = std::move(sink);
-    held_ = sink_.expired();
+    held_ = handing_on_ || sink_.expired();
     if (!held_) go_on();
 }
 
 void Session::go_on() {
-    if (rest_) return;
+    if (rest_ || handing_on_) return;
     // Who calls may hold it by the request alone, which is forgotten once both sides have gone.
     const auto keep = shared_from_this();
     held_ = false;
--- a/src/consumer/session.hpp
+++ b/src/consumer/session.hpp
@@ -80,7 +80,10 @@
     std::weak_ptr<Sink> sink_;
     bool uploading_ = false;   // its last byte has not come
     bool held_ = false;        // its sink has enough for now, or there is none
-    double moved_ = 0;         // when a byte last came, or could be written
+    // The host is taking the request: nothing of its rest moves before the number of it is known, by which
+    // a bad body or an end is told.
+    bool handing_on_ = false;
+    double moved_ = 0;   // when a byte last came, or could be written
     // An answer's rest.
     std::shared_ptr<Source> rest_;
     bool newest_ = true;       // its last request was HTTP/1.1
--- a/tests/ingress/reentry_test.cpp
+++ b/tests/ingress/reentry_test.cpp
@@ -174,6 +174,23 @@
     CHECK(there.expired());
 }
 
+// While the host takes the request its number is not known: what its rest tells would name no request.
+TEST_CASE("a bad body that has come already counts once the request is taken") {
+    Door door;
+    Wire wire;
+    const auto session = std::make_shared<consumer::Session>(door);
+    session->attach(wire);
+    const auto taker = std::make_shared<Taker>();
+    door.on_taken = [&] { door.taken.back()->rest->pull(taker); };   // a connection stood idle
+    const std::string body = kChunked + "10000\r\n" + std::string(65536, 'x') + "\r\n1770\r\n" +
+                             std::string(6000, 'x') + "\r\n0x5\r\n";
+    feed(*session, body);
+    CHECK(door.taken.size() == 1);
+    CHECK(door.left == std::vector<std::uint64_t>{1});
+    CHECK(count(wire.sent, "HTTP/1.1 400 ") == 1);
+    CHECK(taker->got.size() == 6000);
+}
+
 namespace {
 
 struct Calls : provider::ConnectionHost {
