Take no further request from a consumer that has not read its last answer

Cause: a session took request after request while the answers waited in its stream, whose bytes no budget counts, and each answer put off the time at which an unread one ends the connection. A consumer that asks on and reads nothing could so make the program hold answers without a bound, until memory ends it.

Now the next request waits until the last answer has been given to the kernel; the connection ends after 2.5 s without that, as before, and at once when the consumer ends it.

Without the change "no further request is taken while an answer waits to be read" fails; with it it passes.

--- a/src/consumer/session.cpp
+++ b/src/consumer/session.cpp
@@ -59,6 +59,7 @@
 // While an answer is owed, a little is read ahead, which shows whether the consumer is still there.
 std::span<char> Session::space() {
     if (uploading_) return held_ ? std::span<char>() : buffer_.space(kAtOnce);
+    if (unread()) return {};
     if (!busy_) return parser_.room(buffer_);
     if (buffer_.view().size() >= kAheadMost) return {};
     return buffer_.space(512);
@@ -77,10 +78,14 @@
     if (!busy_ && !closing_) read_next();
 }
 
+// Guards against memory that grows with the answers to a consumer that asks on and reads none: the next
+// request waits. Of one that is coming only 100 Continue can be unsent.
+bool Session::unread() const { return !busy_ && !closing_ && !parser_.has_head() && transport_->unsent(); }
+
 void Session::read_next() {
     if (reading_) return;   // answered at once: the loop below goes on
     reading_ = true;
-    while (!busy_ && !closing_ && !buffer_.view().empty()) {
+    while (!busy_ && !closing_ && !unread() && !buffer_.view().empty()) {
         const http::Step step = parser_.feed(buffer_);
         if (step == http::Step::more) {
             expect();
@@ -324,6 +329,7 @@
     // Closing on bytes not read would reset the connection and could take the answer with it: the peer is
     // left to end it, and what it sends meanwhile is dropped.
     if (closing_) return transport_->finish();
+    transport_->resume();
     read_next();
 }
 
--- a/src/consumer/session.hpp
+++ b/src/consumer/session.hpp
@@ -57,10 +57,11 @@
     void on_dropped() override;
     void on_sent() override;
     void on_end(bool clean) override;
-    bool ends_unread() const override { return busy_; }
+    bool ends_unread() const override { return busy_ || unread(); }
 
   private:
     void read_next();
+    bool unread() const;   // its last answer waits to be written, and with it the next request
     void take(bool rest_follows);
     void pass_on();   // what has come of a request's rest
     void expect();
--- a/tests/ingress/reentry_test.cpp
+++ b/tests/ingress/reentry_test.cpp
@@ -25,6 +25,7 @@
     bool send(std::span<const std::string_view> parts) override {
         if (broken) return false;
         for (const std::string_view part : parts) sent += part;
+        full = slow;
         return true;
     }
     bool unsent() const override { return full; }
@@ -33,7 +34,7 @@
     void drop(std::size_t) override {}
     void close() override { closed = true; }
     std::string sent;
-    bool broken = false, full = false, closed = false;
+    bool broken = false, slow = false, full = false, closed = false;
 };
 
 struct Door : consumer::SessionHost {
@@ -191,6 +192,23 @@
     CHECK(taker->got.size() == 6000);
 }
 
+// Guards against memory that grows with the answers to somebody who asks on and on and reads none.
+TEST_CASE("no further request is taken while an answer waits to be read") {
+    Door door;
+    Wire wire;
+    const auto session = std::make_shared<consumer::Session>(door);
+    session->attach(wire);
+    const std::string ask = "GET /health/ready HTTP/1.1\r\n\r\n";
+    wire.slow = true;
+    feed(*session, ask + ask);
+    CHECK(count(wire.sent, "HTTP/1.1 200 ") == 1);
+    CHECK(session->space().empty());
+    wire.slow = wire.full = false;
+    session->on_sent();
+    CHECK(count(wire.sent, "HTTP/1.1 200 ") == 2);
+    CHECK(!session->space().empty());
+}
+
 namespace {
 
 struct Calls : provider::ConnectionHost {
