Bound the digits of a deadline and of Retry-After that go on the wire

Cause: both are printed into arrays on the stack, and the length that snprintf() would have liked was taken as the one that it wrote. A class whose settings state no deadline takes any finite X-Deadline: with 1e40 up to 300 bytes behind the array went to the provider, or the program ended. Retry-After comes from the settings (MaxRetryAfterS, AimS) and had the same fault.

Values over 1e6 s are told as 1e6 s, and the length is what was written.

Without the change "a deadline of any size is a number on the wire" and "advice to come back of any size is a number on the wire" end with stack-buffer-overflow under the sanitizers; with it both pass.

--- a/src/consumer/session.cpp
+++ b/src/consumer/session.cpp
@@ -29,6 +29,8 @@
 // s; how long a full house leaves each of these alone: one just made may be about to ask
 constexpr double kSpareLinger = 0.25, kSpareSilent = 0.1, kSpareHalf = 0.5;
 
+constexpr double kRetryMost = 1e6;   // s; advice beyond it says the same, and its digits have a bound
+
 std::string_view start_line(int status) {
     switch (status) {
         case 200:
@@ -276,9 +278,10 @@
                                      answer.rest ? *answer.length : answer.body.size())
                      : std::snprintf(fields.data(), fields.size(), "%s",
                                      chunks_ ? "Transfer-Encoding: chunked\r\n" : "");
-    if (answer.retry_after_s > 0)
+    const double retry_after_s = std::min(answer.retry_after_s, kRetryMost);
+    if (retry_after_s > 0)
         size += std::snprintf(fields.data() + size, fields.size() - static_cast<std::size_t>(size),
-                              "Retry-After: %.3f\r\n", answer.retry_after_s);
+                              "Retry-After: %.3f\r\n", retry_after_s);
     const bool typed = !answer.content_type.empty();
     const std::array<std::string_view, 8> parts{
         start_line(answer.status),
--- a/src/provider/connection.cpp
+++ b/src/provider/connection.cpp
@@ -17,6 +17,7 @@
 constexpr double kStalled = 10.0;            // s; a large answer of which nothing more comes
 constexpr std::size_t kAtOnce = 32 * 1024;   // bytes of a large answer read at once
 constexpr double kResetAtOnce = 0.05;   // s; a reset as soon as that is the connection's, not the call's
+constexpr double kDeadlineMost = 1e6;   // s; a longer one is told as that, and its digits have a bound
 constexpr std::size_t kKeepMost = 8 * 1024;   // bytes of room that an idle connection keeps
 
 // All of the text, finite and not below 0: anything else is absent, never a 0 that would be believed.
@@ -84,7 +85,8 @@
 void Connection::write_call() {
     char wait[32], length[48];
     const auto text = [](char* at, std::size_t room, const char* format, auto value) {
-        return std::string_view(at, static_cast<std::size_t>(std::snprintf(at, room, format, value)));
+        const int size = std::snprintf(at, room, format, value);
+        return std::string_view(at, std::min(room - 1, static_cast<std::size_t>(size)));
     };
     bool sent = false;
     if (probing()) {
@@ -97,7 +99,8 @@
         const bool chunked = i.rest && !i.length;
         const bool sized = !chunked && (!i.body.empty() || i.method != "GET");
         // Of a request that is still coming the time counts from its last byte.
-        const double left = i.whole ? until_ - net::now() : std::min(i.wait_s, allow_s_);
+        const double within = i.whole ? until_ - net::now() : std::min(i.wait_s, allow_s_);
+        const double left = std::clamp(within, 0.0, kDeadlineMost);
         const std::array<std::string_view, 17> parts{
             i.method,
             " ",
@@ -107,7 +110,7 @@
             "\r\nX-Request-Id: ",
             i.request_id,
             "\r\nX-Deadline: ",
-            text(wait, sizeof wait, "%.3f", std::floor(std::max(0.0, left) * 1e3) / 1e3),
+            text(wait, sizeof wait, "%.3f", std::floor(left * 1e3) / 1e3),
             typed ? "\r\nContent-Type: " : "",
             i.content_type,
             i.key.empty() ? "" : "\r\nIdempotency-Key: ",
--- a/tests/ingress/reentry_test.cpp
+++ b/tests/ingress/reentry_test.cpp
@@ -252,3 +252,48 @@
     CHECK(wire.closed);
     CHECK(taker->ended.empty());
 }
+
+namespace {
+
+std::string deadline_line(double wait_s) {
+    Calls calls;
+    Wire wire;
+    net::Timers timers;
+    http::Budget bytes{32 << 20};
+    const std::vector<std::string> fields;
+    const auto connection =
+        std::make_shared<provider::Connection>(calls, timers, bytes, "s-1", "x:1", fields);
+    connection->attach(wire);
+    connection->begin({}, std::make_shared<consumer::Invocation>(), {}, net::now() + wait_s, 0);
+    connection->write_call();
+    const std::size_t from = wire.sent.find("X-Deadline: ") + 12;
+    return wire.sent.substr(from, wire.sent.find('\r', from) - from);
+}
+
+}   // namespace
+
+// A class without a deadline of its own takes any that a consumer states.
+TEST_CASE("a deadline of any size is a number on the wire") {
+    CHECK(deadline_line(4.0009) == "4.000");
+    for (const double wait : {1e6, 1e12, 1e40, 1e300}) {
+        const std::string line = deadline_line(wait);
+        INFO(wait << ": " << line);
+        CHECK(line.find_first_not_of("0123456789.") == std::string::npos);
+        CHECK(std::stod(line) >= 999999);
+    }
+}
+
+TEST_CASE("advice to come back of any size is a number on the wire") {
+    for (const double wait : {1e80, 1e300, std::numeric_limits<double>::infinity()}) {
+        Door door;
+        Wire wire;
+        const auto session = std::make_shared<consumer::Session>(door);
+        session->attach(wire);
+        session->answer({503, wait, {}, {}});
+        CHECK(wire.sent.starts_with(
+            "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: "));
+        CHECK(wire.sent.ends_with("\r\n\r\n"));
+        const std::string line = wire.sent.substr(wire.sent.find("After: ") + 7);
+        CHECK(line.substr(0, line.find('\r')).find_first_not_of("0123456789.") == std::string::npos);
+    }
+}
