Look connections up in the pool without throwing, and clear idle lists so that they end

By reading no such connection can come there (each call of on_free() stands before the close, and a close takes it off both lists), so this was no cause of a fall that was seen; it now holds by construction: a connection that has closed is never taken as idle, and leaves the list before it is closed.

Without the change "a connection that has been closed is never kept as idle" fails (std::out_of_range); with it it passes.

--- a/src/provider/pool.cpp
+++ b/src/provider/pool.cpp
@@ -53,7 +53,9 @@
         provider.address = net::parse_address(provider.host_port);
     }
     for (const std::string& id : before) {   // a complete list that does not name it
-        stop(id, providers_.at(id));
+        const auto at = providers_.find(id);
+        if (at == providers_.end()) continue;
+        stop(id, at->second);
         providers_.erase(id);
     }
 }
@@ -83,7 +85,8 @@
         }
         // Guards against a connection that its provider has ended meanwhile: a call written to it would
         // count as one that may have run.
-        if (!connections_.at(connection.get())->stream.readable()) return connection;
+        const auto at = connections_.find(connection.get());
+        if (at != connections_.end() && !at->second->stream.readable()) return connection;
         connection->close();
     }
     return nullptr;
@@ -91,13 +94,13 @@
 
 bool Pool::make_room() {
     if (connections_.size() < limits_.connections) return true;
-    Connection* oldest = nullptr;
-    for (const auto& [id, provider] : providers_)
+    Provider* oldest = nullptr;
+    for (auto& [id, provider] : providers_)
         if (!provider.idle.empty() &&
-            (!oldest || provider.idle.front()->free_since() < oldest->free_since()))
-            oldest = provider.idle.front().get();
+            (!oldest || provider.idle.front()->free_since() < oldest->idle.front()->free_since()))
+            oldest = &provider;
     if (!oldest) return false;
-    oldest->close();
+    close_oldest(*oldest);
     return true;
 }
 
@@ -152,10 +155,15 @@
     double limit = std::min(kIdlePart * limits_.keepalive_s, freshness_.limit(now));
     if (idle_most_ >= 0) limit = std::min(limit, idle_most_);
     for (auto& [id, provider] : providers_)
-        while (!provider.idle.empty() && now - provider.idle.front()->free_since() > limit) {
-            const auto connection = provider.idle.front();
-            connection->close();
-        }
+        while (!provider.idle.empty() && now - provider.idle.front()->free_since() > limit)
+            close_oldest(provider);
+}
+
+// Out of the list first, so that whoever clears a list comes to its end.
+void Pool::close_oldest(Provider& provider) {
+    const auto connection = std::move(provider.idle.front());
+    provider.idle.erase(provider.idle.begin());
+    connection->close();
 }
 
 std::size_t Pool::ready() const {
@@ -175,7 +183,9 @@
 
 void Pool::on_free(Connection& connection) {
     const auto at = providers_.find(connection.provider());
-    const auto linked = connections_.at(&connection);
+    const auto known = connections_.find(&connection);
+    if (known == connections_.end()) return;   // it has closed
+    const auto linked = known->second;
     if (at == providers_.end() || !at->second.accepting || at->second.host_port != connection.host_port())
         return linked->close();
     at->second.idle.push_back(linked);
--- a/src/provider/pool.hpp
+++ b/src/provider/pool.hpp
@@ -66,6 +66,7 @@
                                       slatejunction::Outcome& failure);
     std::shared_ptr<Connection> take_idle(Provider& provider);
     bool make_room();
+    void close_oldest(Provider& provider);   // of its idle ones; there is one
     void stop(const std::string& id, Provider& provider);
 
     CallHost& host_;
--- a/tests/ingress/reentry_test.cpp
+++ b/tests/ingress/reentry_test.cpp
@@ -297,3 +297,28 @@
         CHECK(line.substr(0, line.find('\r')).find_first_not_of("0123456789.") == std::string::npos);
     }
 }
+
+// A closed connection among the idle ones would be handed out, and clearing them would never end.
+TEST_CASE("a connection that has been closed is never kept as idle") {
+    struct Host : provider::CallHost {
+        void on_call_end(const provider::CallTag&, const provider::CallEnd&) override {}
+        void on_probe_end(const std::string&, const provider::CallEnd&) override {}
+    } host;
+    net::Timers timers;
+    http::Budget bytes(1 << 20);
+    provider::Pool pool(host, timers, {8, 9, 30}, bytes, {});
+    directory::Listing listing;
+    listing.update.entries.resize(1);
+    listing.update.entries[0].server = "a";
+    listing.update.entries[0].state = slatejunction::ServerState::in;
+    listing.addresses = {"127.0.0.1:1"};
+    pool.update(listing);
+    const auto call = pool.call("a", {}, std::make_shared<consumer::Invocation>(), net::now() + 9);
+    REQUIRE(call);
+    call->abandon(slatejunction::Outcome::cancelled);
+    REQUIRE(pool.connections() == 0);
+    CHECK_NOTHROW(pool.on_free(*call));
+    CHECK(pool.connections() == 0);
+    pool.sweep(net::now() + 100);
+    CHECK(pool.call("a", {}, std::make_shared<consumer::Invocation>(), net::now() + 9) != call);
+}
