Keep the timers going whatever time one is armed for

Cause: a timer armed for NaN stood at the front of the queue, never due and never waited for: the loop spun without a pause and no timer fired again. One that its own call armed for the past was called again within the same round, before any other and without end. The module's timers, which share one of the program's, had both faults in the ingress's own queue.

The past and NaN now mean the loop's next round, infinity never, and one round calls each timer once.

Without the change "a timer armed for no time at all stops no other one" and "a timer that is armed for the past by its own call runs once in a round" fail; with it both pass.

--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -504,7 +504,8 @@
 
 void Ingress::timers_due() {
     const double now = net::now();
-    while (!due_.empty() && due_.top().due <= now) {
+    // As many as there are now: what they set for the past waits for the loop's next round.
+    for (std::size_t left = due_.size(); left > 0 && due_.top().due <= now; --left) {
         const std::uint64_t tag = due_.top().tag;
         due_.pop();
         tell(slatejunction::TimerDue{tag});
@@ -593,8 +594,10 @@
 }
 
 void Ingress::carry_out(const slatejunction::SetTimer& timer) {
-    due_.push({timer.due_s, timer.tag});
-    if (due_.top().due >= timer.due_s) module_timer_.arm(timer.due_s);
+    // One that is no number would stay at the front and keep all others from coming.
+    const double due = std::isnan(timer.due_s) ? net::now() : timer.due_s;
+    due_.push({due, timer.tag});
+    if (due_.top().due >= due) module_timer_.arm(due);
 }
 
 void Ingress::carry_out(const slatejunction::Probe& probe) {
--- a/src/net/timers.cpp
+++ b/src/net/timers.cpp
@@ -11,6 +11,9 @@
 
 void Timer::arm(double due) {
     disarm();
+    // What is no number has no place in the order, and would keep the loop awake and all timers waiting.
+    if (std::isnan(due)) due = now();
+    due = std::max(due, timers_.least_);
     if (spare_) {
         spare_.key() = due;
         at_ = timers_.queue_.insert(std::move(spare_));
@@ -87,11 +90,15 @@
         return;
     }
     waited_ = 0;
+    // A timer that its own call arms for the past waits for the next round, or no other one would get its
+    // turn.
+    least_ = std::nextafter(time, kNever);
     while (!queue_.empty() && queue_.begin()->first <= time) {
         Timer* timer = queue_.begin()->second;
         timer->disarm();
         timer->call_();   // may destroy the timer
     }
+    least_ = -kNever;
 }
 
 }   // namespace slatejunction::net
--- a/src/net/timers.hpp
+++ b/src/net/timers.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <vector>
 
@@ -20,6 +21,7 @@
     ~Timer() { disarm(); }
     Timer(const Timer&) = delete;
     Timer& operator=(const Timer&) = delete;
+    // `due`: s, net::now(). The past and NaN mean the loop's next round, infinity never.
     void arm(double due);
     void disarm();
     bool armed() const { return armed_; }
@@ -65,6 +67,8 @@
     std::vector<Watch*> watches_;
     std::multimap<double, Timer*> queue_;
     Source source_;
+    static constexpr double kNever = std::numeric_limits<double>::infinity();   // s, as a time
+    double least_ = -kNever;   // s; what is armed now is due then at the earliest
     int waited_ = 0;
 };
 
--- a/tests/ingress/reentry_test.cpp
+++ b/tests/ingress/reentry_test.cpp
@@ -322,3 +322,31 @@
     pool.sweep(net::now() + 100);
     CHECK(pool.call("a", {}, std::make_shared<consumer::Invocation>(), net::now() + 9) != call);
 }
+
+TEST_CASE("a timer armed for no time at all stops no other one") {
+    for (const double odd : {std::nan(""), std::numeric_limits<double>::infinity(),
+                             -std::numeric_limits<double>::infinity()}) {
+        net::Timers timers;
+        int fired = 0;
+        net::Timer first(timers, [] {}), second(timers, [&] { ++fired; }), third(timers, [] {});
+        first.arm(odd);
+        second.arm(net::now() - 0.001);
+        third.arm(odd);
+        for (int i = 0; i < 5 && fired == 0; ++i) g_main_context_iteration(nullptr, FALSE);
+        CHECK(fired == 1);
+    }
+}
+
+TEST_CASE("a timer that is armed for the past by its own call runs once in a round") {
+    net::Timers timers;
+    int own = 0, other = 0;
+    net::Timer again(timers, [&] {
+        if (++own < 1000) again.arm(net::now() - 10);
+    });
+    net::Timer once(timers, [&] { ++other; });
+    again.arm(net::now() - 0.001);
+    once.arm(net::now() - 0.0005);
+    g_main_context_iteration(nullptr, FALSE);
+    CHECK(own == 1);
+    CHECK(other == 1);
+}
