Hold no open request over an answer in the ingress

Ingress::on_call_end() kept a reference into the list of open requests over Consumer::answer(). The answer may bring the session's next request at once, which runs the module: had any of its actions ended the older request, its entry would have been erased and read on. By reading none does today: the module is told of one event at a time and speaks, for a new request, of that request alone; calls that end within its first attempt are its own; and the older one's further attempts end by their own sources, by a list or by an operator, none of which runs inside a request's arrival. So this was no cause of a fall that was seen.

Now it holds by construction: what the event tells is copied first, answers are given by number, and the entry is looked up anew after each (the same for a call that is sent, a refusal and an abort).

All of tests/ingress in a release build pass (28 test cases).

--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -247,50 +247,47 @@
 
 void Ingress::on_closed(consumer::Session& session) { server_.forget(session); }
 
+// Each answer may bring the session's next request at once, with all that the module then does: nothing of
+// the list of open requests is held over one. What the event tells is taken first.
 void Ingress::on_call_end(const provider::CallTag& tag, const provider::CallEnd& end) {
-    const auto at = open_.find(tag.invocation);
-    if (at == open_.end()) return;
-    Open& open = at->second;
-    open.calls[static_cast<std::size_t>(tag.attempt)].reset();
-    --open.out;
-    if (observer_) {
-        observer_->on_attempt(end.outcome);
-        if (end.quota_use > 0) observer_->on_quota_report();
-    }
-    if (end.left && open.consumer) {
-        if (observer_) observe(open, Finish::How::failed, "left");
-        open.consumer.reset();
-    }
-    if (end.outcome == Outcome::ok && open.consumer) {
-        if (observer_) observe(open, Finish::How::served, "");
-        answer(open, {200, 0, end.content_type, end.body, end.rest, end.length});
-    }
-    // Guards against a large request that is told to go on and can't: some of its bytes are gone.
-    const bool missing = open.invocation->passed && end.outcome != Outcome::ok && !end.consumers_fault;
-    if (missing && open.consumer) {
-        const bool ran = end.outcome != Outcome::connect_failed && end.outcome != Outcome::full &&
-                         end.outcome != Outcome::moot;
-        if (observer_) observe(open, Finish::How::failed, "lost");
-        answer(open, {ran ? 502 : 503, ran ? 0 : kMissingRetry, {}, {}});
-    }
-    // Guards against a provider that looks broken because a consumer sends what it can't use.
-    if (end.consumers_fault) {
-        on_bad_request(400, "a provider could not use it");
-        if (open.consumer) {
-            if (observer_) observe(open, Finish::How::failed, "turned_down");
-            answer(open, {400, 0, {}, {}});
-        }
-    }
+    Open* const open = find(tag.invocation);
+    if (!open) return;
+    open->calls[static_cast<std::size_t>(tag.attempt)].reset();
+    --open->out;
     slatejunction::AttemptEnd event;
-    event.id = open.id;
+    event.id = open->id;
     event.attempt = tag.attempt;
     event.outcome = end.consumers_fault ? Outcome::cancelled : end.outcome;
     event.took_s = end.took_s;
     event.written_s = end.written_s;
-    event.ended = !open.consumer;
     event.quota_use = end.quota_use;
     event.report = end.report;
     event.stale = end.broke && end.idle_s >= 0;
+    // Guards against a large request that is told to go on and can't: some of its bytes are gone.
+    const bool missing = open->invocation->passed && end.outcome != Outcome::ok && !end.consumers_fault;
+    if (observer_) {
+        observer_->on_attempt(end.outcome);
+        if (end.quota_use > 0) observer_->on_quota_report();
+    }
+    if (end.left && open->consumer) {
+        if (observer_) observe(*open, Finish::How::failed, "left");
+        open->consumer.reset();
+    }
+    // Guards against a provider that looks broken because a consumer sends what it can't use.
+    if (end.consumers_fault) on_bad_request(400, "a provider could not use it");
+    if (end.outcome == Outcome::ok) {
+        answer(tag.invocation, {200, 0, end.content_type, end.body, end.rest, end.length},
+               Finish::How::served, "");
+    } else if (missing) {
+        const bool ran = end.outcome != Outcome::connect_failed && end.outcome != Outcome::full &&
+                         end.outcome != Outcome::moot;
+        answer(tag.invocation, {ran ? 502 : 503, ran ? 0 : kMissingRetry, {}, {}}, Finish::How::failed,
+               "lost");
+    } else if (end.consumers_fault) {
+        answer(tag.invocation, {400, 0, {}, {}}, Finish::How::failed, "turned_down");
+    }
+    const Open* const left = find(tag.invocation);
+    event.ended = !left || !left->consumer;
     forget_if_over(tag.invocation);
     tell(std::move(event));
 }
@@ -538,6 +535,10 @@
 Ingress::Open* Ingress::find(const std::string& id) {
     std::uint64_t number = 0;
     std::from_chars(id.data(), id.data() + id.size(), number);
+    return find(number);
+}
+
+Ingress::Open* Ingress::find(std::uint64_t number) {
     const auto at = open_.find(number);
     return at == open_.end() ? nullptr : &at->second;
 }
@@ -557,7 +558,8 @@
             judges_[i]->sent(*open->invocation, open->marks[i], send.spilled);
     const double begin_by = send.begin_by_s > 0 ? send.begin_by_s : provider::Pool::kNever;
     const auto call = pool_.call(send.server, tag, open->invocation, until, begin_by);
-    if (call) open->calls[static_cast<std::size_t>(tag.attempt)] = call;
+    open = find(tag.invocation);   // the call may have ended, and the request with it
+    if (open && call) open->calls[static_cast<std::size_t>(tag.attempt)] = call;
 }
 
 void Ingress::carry_out(const slatejunction::CallOff& call_off) {
@@ -569,28 +571,28 @@
 }
 
 void Ingress::carry_out(const slatejunction::Refuse& refuse) {
-    Open* open = find(refuse.id);
-    if (open && open->consumer) {
+    Open* const open = find(refuse.id);
+    if (!open) return;
+    const std::uint64_t number = open->number;
+    if (open->consumer) {
         // A quota kept here is a limit to the module.
         auto reason = refuse.reason;
         if (reason == slatejunction::Reason::limit && open->judged > 0)
             reason = judges_[open->over]->refused(open->marks[open->over]);
-        const auto number = static_cast<std::size_t>(reason);
-        if (observer_) observe(*open, Finish::How::refused, metrics::kReasons[number], number);
-        answer(*open, {503, refuse.retry_after_s, {}, {}});
+        const auto refusal = static_cast<std::size_t>(reason);
+        answer(number, {503, refuse.retry_after_s, {}, {}}, Finish::How::refused,
+               metrics::kReasons[refusal], refusal);
     }
-    if (open) forget_if_over(open->number);
+    forget_if_over(number);
 }
 
 void Ingress::carry_out(const slatejunction::Abort& abort) {
-    Open* open = find(abort.id);
+    const Open* const open = find(abort.id);
     if (!open) return;
+    const std::uint64_t number = open->number;
     const bool late = open->invocation->due - net::now() < kNearDue;
-    if (open->consumer) {
-        if (observer_) observe(*open, Finish::How::failed, late ? "due" : "lost");
-        answer(*open, {late ? 504 : 502, 0, {}, {}});
-    }
-    forget_if_over(open->number);
+    answer(number, {late ? 504 : 502, 0, {}, {}}, Finish::How::failed, late ? "due" : "lost");
+    forget_if_over(number);
 }
 
 void Ingress::carry_out(const slatejunction::SetTimer& timer) {
@@ -616,7 +618,6 @@
     if (observer_ && admitted.subset == 0) observer_->on_admitted(admitted.fraction);
 }
 
-// Before the answer is given, so that what was answered has been counted even if the program is killed.
 void Ingress::observe(const Open& open, Finish::How how, std::string_view reason, std::size_t refusal) {
     Finish finish{*open.invocation,
                   how,
@@ -673,9 +674,14 @@
     return now;
 }
 
-void Ingress::answer(Open& open, const consumer::Answer& answer) {
-    const auto consumer = std::move(open.consumer);
-    open.consumer.reset();
+// Nothing of open_ may be held over it. It is counted before it is given, so that what was answered has
+// been counted even if the program is killed.
+void Ingress::answer(std::uint64_t number, const consumer::Answer& answer, Finish::How how,
+                     std::string_view reason, std::size_t refusal) {
+    Open* const open = find(number);
+    if (!open || !open->consumer) return;
+    if (observer_) observe(*open, how, reason, refusal);
+    const auto consumer = std::exchange(open->consumer, nullptr);
     consumer->answer(answer);
 }
 
--- a/src/ingress/ingress.hpp
+++ b/src/ingress/ingress.hpp
@@ -118,9 +118,12 @@
     void carry_out(const slatejunction::Probe& probe);
     void carry_out(const slatejunction::Listen& listen);
     void carry_out(const slatejunction::Note& note);
-    Open* find(const std::string& id);
+    Open* find(const std::string& id);   // null: forgotten
+    Open* find(std::uint64_t number);
     void carry_out(const slatejunction::Admitted& admitted);
-    void answer(Open& open, const consumer::Answer& answer);
+    // Gives the final answer, if one is owed still.
+    void answer(std::uint64_t number, const consumer::Answer& answer, Finish::How how,
+                std::string_view reason, std::size_t refusal = 0);
     void observe(const Open& open, Finish::How how, std::string_view reason, std::size_t refusal = 0);
     void forget_if_over(std::uint64_t number);
     void judge(Open& open, slatejunction::Request& request);
