End the process with a status and a line when an exception leaves a callback

An exception out of a callback unwound through the main loop's C frames, which are not made for that: where they carry tables it came out of main() as if the configuration were bad (status 2), having left lists and the module's queue half changed while destructors ran; where not it ended by std::terminate. Ending is right rather than dropping one connection: what is expected to fail is handled where it does, so this is a fault of the program in the middle of a change, and to serve on could send a request twice.

The one callback outside src/net is handover's listening socket, which throws only for want of memory.

Without the change "an exception that leaves a callback of the loop ends the process with a clear status" fails (the exception passes through the loop); with it it passes.

--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -4,6 +4,7 @@
 
 #include <cerrno>
 
+#include "net/guard.hpp"
 #include "net/stream.hpp"
 
 namespace slatejunction::net {
@@ -90,21 +91,24 @@
 }
 
 gboolean Listener::on_in(GSocket*, GIOCondition, gpointer self) {
-    auto& listener = *static_cast<Listener*>(self);
-    if (!listener.room_()) {   // the backlog waits; poke() goes on
-        listener.source_.reset();
+    return guarded([&] { return static_cast<Listener*>(self)->accept(); });
+}
+
+gboolean Listener::accept() {
+    if (!room_()) {   // the backlog waits; poke() goes on
+        source_.reset();
         return G_SOURCE_REMOVE;
     }
     GError* fault = nullptr;
-    Ref<GSocket> taken(g_socket_accept(listener.socket_.get(), nullptr, &fault));
+    Ref<GSocket> taken(g_socket_accept(socket_.get(), nullptr, &fault));
     const Error error(fault);
     if (taken) {
-        listener.taken_(std::move(taken));   // which may have it held, or stopped
+        taken_(std::move(taken));   // which may have it held, or stopped
     } else if (!g_error_matches(fault, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
         // Guards against a spin: with no descriptors left the listener stays readable.
-        listener.source_.reset();
-        listener.again_.arm(now() + kPause);
-        listener.failed_(fault->message);
+        source_.reset();
+        again_.arm(now() + kPause);
+        failed_(fault->message);
     }
     return G_SOURCE_CONTINUE;
 }
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -26,6 +26,7 @@
 
   private:
     static gboolean on_in(GSocket*, GIOCondition, gpointer self);
+    gboolean accept();
     void watch();
     const int priority_;   // in the loop
     Timer again_;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -10,6 +10,8 @@
 #include <array>
 #include <charconv>
 
+#include "net/guard.hpp"
+
 namespace slatejunction::net {
 
 Address parse_address(std::string_view text) {
@@ -87,8 +89,10 @@
 gboolean Stream::on_unread_end(gint, GIOCondition, gpointer self) {
     auto& stream = *static_cast<Stream*>(self);
     const auto keep = stream.protocol_.shared_from_this();
-    stream.end(true);
-    return G_SOURCE_REMOVE;
+    return guarded([&] {
+        stream.end(true);
+        return G_SOURCE_REMOVE;
+    });
 }
 
 void Stream::watch(Source& source, GIOCondition condition, GSocketSourceFunc call) {
@@ -144,67 +148,73 @@
 
 // One read a wake-up: a second one would mostly bring "would block", which GIO reports by allocating.
 gboolean Stream::on_in(GSocket*, GIOCondition, gpointer self) {
-    auto& stream = *static_cast<Stream*>(self);
-    const auto keep = stream.protocol_.shared_from_this();
+    return guarded([&] { return static_cast<Stream*>(self)->read(); });
+}
+
+gboolean Stream::read() {
+    const auto keep = protocol_.shared_from_this();
     GError* fault = nullptr;
-    if (stream.dropping_) {
-        const gssize got = stream.take_and_drop(&fault);
+    if (dropping_) {
+        const gssize got = take_and_drop(&fault);
         const Error error(fault);
-        if (got == 0 || stream.drop_left_ == 0) {
-            stream.end(got == 0);
+        if (got == 0 || drop_left_ == 0) {
+            end(got == 0);
         } else if (got > 0) {
-            stream.protocol_.on_dropped();
+            protocol_.on_dropped();
         } else if (got < 0 && !g_error_matches(fault, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
-            stream.end(false);
+            end(false);
         }
         return G_SOURCE_CONTINUE;
     }
-    const std::span<char> space = stream.protocol_.space();
+    const std::span<char> space = protocol_.space();
     if (space.empty()) {   // until resume()
-        stream.pause();
+        pause();
         return G_SOURCE_REMOVE;
     }
-    const gssize got = g_socket_receive(stream.socket_.get(), space.data(), space.size(), nullptr, &fault);
+    const gssize got = g_socket_receive(socket_.get(), space.data(), space.size(), nullptr, &fault);
     const Error error(fault);
     if (got > 0) {
-        stream.protocol_.on_bytes(static_cast<std::size_t>(got));
+        protocol_.on_bytes(static_cast<std::size_t>(got));
     } else if (got == 0) {
-        stream.end(true);
+        end(true);
     } else if (!g_error_matches(fault, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
-        stream.end(false);
+        end(false);
     }
     return G_SOURCE_CONTINUE;
 }
 
 gboolean Stream::on_out(GSocket*, GIOCondition, gpointer self) {
-    auto& stream = *static_cast<Stream*>(self);
-    const auto keep = stream.protocol_.shared_from_this();
-    if (stream.dialling_) {
+    return guarded([&] { return static_cast<Stream*>(self)->write_kept(); });
+}
+
+gboolean Stream::write_kept() {
+    const auto keep = protocol_.shared_from_this();
+    if (dialling_) {
         GError* fault = nullptr;
-        const bool up = g_socket_check_connect_result(stream.socket_.get(), &fault);
+        const bool up = g_socket_check_connect_result(socket_.get(), &fault);
         const Error error(fault);
         if (!up) {
-            stream.end(false);
+            end(false);
             return G_SOURCE_REMOVE;
         }
-        stream.dialling_ = false;
-        stream.out_.reset();
-        stream.watch(stream.in_, G_IO_IN, &Stream::on_in);
-        stream.protocol_.on_open();
+        dialling_ = false;
+        out_.reset();
+        watch(in_, G_IO_IN, &Stream::on_in);
+        protocol_.on_open();
         return G_SOURCE_REMOVE;
     }
-    const std::string_view rest = std::string_view(stream.kept_).substr(stream.kept_from_);
+    const std::string_view rest = std::string_view(kept_).substr(kept_from_);
     std::size_t written = 0;
-    if (!stream.write({&rest, 1}, written)) {
-        stream.end(false);
+    if (!write({&rest, 1}, written)) {
+        end(false);
         return G_SOURCE_REMOVE;
     }
-    stream.kept_from_ += written;
-    if (stream.kept_from_ < stream.kept_.size()) return G_SOURCE_CONTINUE;
-    stream.kept_ = {};   // an answer's room is not kept for an idle connection
-    stream.kept_from_ = 0;
-    stream.out_.reset();
-    stream.protocol_.on_sent();
+    kept_from_ += written;
+    if (kept_from_ < kept_.size()) return G_SOURCE_CONTINUE;
+    kept_ = {};   // an answer's room is not kept for an idle connection
+    kept_from_ = 0;
+    out_.reset();
+    protocol_.on_sent();
     return G_SOURCE_REMOVE;
 }
 
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -64,6 +64,8 @@
     void pause();
     static gboolean on_in(GSocket*, GIOCondition, gpointer self);
     static gboolean on_out(GSocket*, GIOCondition, gpointer self);
+    gboolean read();
+    gboolean write_kept();
     void watch(Source& source, GIOCondition condition, GSocketSourceFunc call);
     gssize take_and_drop(GError** fault);
     bool write(std::span<const std::string_view> parts, std::size_t& written);
--- a/src/net/timers.cpp
+++ b/src/net/timers.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "net/guard.hpp"
+
 namespace slatejunction::net {
 namespace {
 constexpr double kStoodStill = 0.02;   // s; timers that are later than that
@@ -48,9 +50,11 @@
                    queue.begin()->first <= 1e-6 * static_cast<double>(g_source_get_time(source));
         },
         [](GSource* source, GSourceFunc, gpointer) -> gboolean {
-            reinterpret_cast<Wake*>(source)->self->look();
-            reinterpret_cast<Wake*>(source)->self->run();
-            return G_SOURCE_CONTINUE;
+            return guarded([&] {
+                reinterpret_cast<Wake*>(source)->self->look();
+                reinterpret_cast<Wake*>(source)->self->run();
+                return G_SOURCE_CONTINUE;
+            });
         },
         nullptr,
         nullptr,
--- a/tests/ingress/reentry_test.cpp
+++ b/tests/ingress/reentry_test.cpp
@@ -1,13 +1,16 @@
 // What a callback may do to those that are still on the stack above it, and values that no arithmetic can
 // take: each of these has ended or held the program, or could.
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
 #include <cmath>
+#include <functional>
 #include <limits>
 #include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "consumer/session.hpp"
@@ -350,3 +353,63 @@
     CHECK(own == 1);
     CHECK(other == 1);
 }
+
+namespace {
+
+// How a child ended in which an exception left a callback, and what it said.
+std::pair<int, std::string> end_of(const std::function<void()>& turn) {
+    int pipe[2];
+    REQUIRE(::pipe(pipe) == 0);
+    const ::pid_t child = ::fork();
+    if (child == 0) {
+        ::dup2(pipe[1], STDERR_FILENO);
+        try {
+            turn();
+        } catch (...) {
+            ::_exit(1);   // it went through the loop
+        }
+        ::_exit(0);
+    }
+    ::close(pipe[1]);
+    std::string said(1000, '\0');
+    const ::ssize_t size = ::read(pipe[0], said.data(), said.size());
+    ::close(pipe[0]);
+    int status = 0;
+    REQUIRE(::waitpid(child, &status, 0) == child);
+    return {WIFEXITED(status) ? WEXITSTATUS(status) : -1, said.substr(0, size > 0 ? size : 0)};
+}
+
+struct Thrower : net::Protocol {
+    std::span<char> space() override { return room; }
+    void on_bytes(std::size_t) override { throw std::out_of_range("a test's own fault"); }
+    void on_end(bool) override { throw std::out_of_range("a test's own fault"); }
+    char room[16];
+};
+
+}   // namespace
+
+// The loop is C: what would unwind through it ends the process instead, with a line and a status of its
+// own.
+TEST_CASE("an exception that leaves a callback of the loop ends the process with a clear status") {
+    const auto told = [](const std::pair<int, std::string>& end) {
+        CHECK(end.first == 70);
+        CHECK(end.second ==
+              "error: a fault of this program, which ends with status 70: a test's own fault\n");
+    };
+    told(end_of([] {
+        net::Timers timers;
+        net::Timer timer(timers, [] { throw std::out_of_range("a test's own fault"); });
+        timer.arm(net::now() - 0.001);
+        for (int i = 0; i < 5; ++i) g_main_context_iteration(nullptr, FALSE);
+    }));
+    for (const bool ends : {false, true})
+        told(end_of([&] {
+            int ends_of[2];
+            if (::socketpair(AF_UNIX, SOCK_STREAM, 0, ends_of) != 0) return;
+            const auto protocol = std::make_shared<Thrower>();
+            net::Stream stream(*protocol);
+            stream.adopt(net::Ref<GSocket>(g_socket_new_from_fd(ends_of[0], nullptr)));
+            if (ends || ::write(ends_of[1], "x", 1) != 1) ::close(ends_of[1]);
+            for (int i = 0; i < 5; ++i) g_main_context_iteration(nullptr, FALSE);
+        }));
+}
