Give figures of the list and of the settings a defined value whatever they are

A cell or a memory limit beyond all integers was cast as it stood, which has no defined value: on this machine the least of all integers for a cell, and by chance no room at all for bodies. A cell beyond them is now absent, as other figures that can't be read, and limits.memory_mb counts up to 1e9.

Without the change "a cell beyond all integers is absent" fails (4 of 4); with it it passes.

--- a/src/directory/listing.cpp
+++ b/src/directory/listing.cpp
@@ -22,6 +22,12 @@
 
 namespace {
 
+// The cast of a number beyond all integers has no defined value.
+std::int64_t whole(double value) {
+    constexpr double kLimit = 0x1p63;
+    return value >= -kLimit && value < kLimit ? static_cast<std::int64_t>(value) : 0;
+}
+
 bool read_entry(const rapidjson::Value& json, const UnixClock& clock, slatejunction::ListEntry& entry,
                 std::string& address) {
     if (!json.IsObject()) return false;
@@ -49,7 +55,7 @@
     entry.kind = text("flavor");
     entry.zone = text("locality");
     entry.capacity_hint = number("size");
-    entry.cell = static_cast<std::int64_t>(number("cell"));
+    entry.cell = whole(number("cell"));
     entry.born_s = clock.monotonic(number("up_since_ms"));
     return !entry.server.empty() && (entry.state != ServerState::in || net::parse_address(address));
 }
--- a/src/directory/watch.cpp
+++ b/src/directory/watch.cpp
@@ -96,7 +96,8 @@
     if (parser_.head().status == 503 || parser_.head().status == 429) return turned_away();
     if (parser_.head().status != 200) return fail("an answer other than 200");
     rapidjson::Document json;
-    json.Parse(parser_.body().data(), parser_.body().size());
+    // Iterative: noise must not take the stack.
+    json.Parse<rapidjson::kParseIterativeFlag>(parser_.body().data(), parser_.body().size());
     Listing listing;
     int broken = 0;
     if (json.HasParseError() || !read_listing(json, clock_, listing, broken)) {
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -17,6 +17,7 @@
 constexpr double kSweepEvery = 0.2;    // s
 constexpr double kMemoryPart =
     0.2;   // of the memory, for the bytes of consumers, and for those of providers
+constexpr double kMemoryMost = 1e9;        // MB; more is no machine's, and its bytes have to be countable
 constexpr double kStopSweepEvery = 0.05;   // s, while stopping
 // New connections come for some tenths of a second after the stop, and on those open more requests may.
 constexpr double kStillComing = 0.6;   // s after the stop in which idle connections are kept
@@ -46,7 +47,7 @@
 }
 
 std::size_t bytes_of(const config::Config& config) {
-    return static_cast<std::size_t>(kMemoryPart * config.memory_mb * 1024 * 1024);
+    return static_cast<std::size_t>(kMemoryPart * std::min(config.memory_mb, kMemoryMost) * 1024 * 1024);
 }
 
 }   // namespace
--- a/tests/ingress/reentry_test.cpp
+++ b/tests/ingress/reentry_test.cpp
@@ -354,6 +354,41 @@
     CHECK(other == 1);
 }
 
+// Only numbers of the type: the cast of any other has no defined value.
+TEST_CASE("a cell beyond all integers is absent") {
+    for (const char* cell : {"1e300", "-1e300", "9223372036854775808", "1e19"}) {
+        const std::string text =
+            R"({"revision":1,"complete":true,"members":[{"id":"a","phase":"Ready","host_port":"127.0.0.1:1","cell":)" +
+            std::string(cell) + "}]}";
+        rapidjson::Document json;
+        json.Parse(text.data(), text.size());
+        REQUIRE(!json.HasParseError());
+        directory::Listing listing;
+        int broken = 0;
+        REQUIRE(directory::read_listing(json, directory::UnixClock(), listing, broken));
+        REQUIRE(listing.update.entries.size() == 1);
+        CHECK(listing.update.entries[0].cell == 0);
+    }
+}
+
+// 64 KiB of brackets: a parser that calls itself for each would run out of stack.
+TEST_CASE("a list of nothing but brackets is one that can't be read") {
+    struct Host : directory::WatchHost {
+        void on_listing(directory::Listing&) override {}
+        void on_lost(const char* why) override { lost = why; }
+        std::string lost;
+    } host;
+    net::Timers timers;
+    const directory::UnixClock clock;
+    Wire wire;
+    const auto watch = std::make_shared<directory::Watch>(host, timers, clock, "x:1", 1);
+    watch->attach(wire, [] { return true; });
+    watch->start({});
+    watch->on_open();
+    feed(*watch, "HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n" + std::string(65536, '['));
+    CHECK(host.lost == "a list that can't be read");
+}
+
 namespace {
 
 // How a child ended in which an exception left a callback, and what it said.
