Bound the log's last flush by the steady clock

The end of the program waited for a slow reader of the log until a time of the wall clock: one set back meanwhile, as at a first synchronisation, would have stretched the half second by as much. Not forced by a test: it would have to set the machine's clock.

--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -164,8 +164,8 @@
 void Log::drain() { sink_->drain(); }
 
 void Log::flush(double most_s) {
-    const double until = unix_s() + most_s;
-    while (!sink_->drain(20) && unix_s() < until) {
+    const auto until = std::chrono::steady_clock::now() + std::chrono::duration<double>(most_s);
+    while (!sink_->drain(20) && std::chrono::steady_clock::now() < until) {
     }
 }
 
