Do not start without a descriptor for signals

signalfd() was not looked at: without a descriptor the program would have started deaf, as its signals are blocked by then, and SIGTERM would never have ended it. Not forced by a test: a start that has no descriptor left for signals has none for its listening socket either, and ended by that; only a table of the whole system that is full at that moment can bring it.

--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -4,8 +4,10 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <csignal>
 #include <cstdio>
+#include <cstring>
 #include <memory>
 #include <stdexcept>
 #include <vector>
@@ -224,6 +226,7 @@
     log_ = std::make_unique<Log>(options.log);
     make(options);
     const store::File signals(signalfd(-1, &signals_, SFD_CLOEXEC | SFD_NONBLOCK));
+    if (!signals) return fail("no descriptor for signals: " + std::string(std::strerror(errno)));
     const net::Watch watch(timers_, signals.get(), [this, fd = signals.get()] { on_signal(fd); });
     std::string why;
     if (!ingress_->start(why)) return fail(why);
