Call a large request off when its consumer leaves before all of it has been written

Cause: what had begun to be written was left to the module, which calls off nothing where the settings do not allow it (Cancel). Of a large request the rest will never come: the provider waited for it, with the connection, its descriptor and the open request, until the request was due, which for a body without a length is over 1300 s away. Where calls are called off the call ended as one that failed, which counted against the provider what its consumer had done.

Whatever can't be written whole any more ends at once as moot, as what has not begun does.

Without the change upload-left.txt fails (the provider's connection stays open); with it it passes, as do large-request.txt and left-while-dialling.txt (release build).

--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -228,10 +228,11 @@
     if (observer_) observe(at->second, Finish::How::failed, "left");
     at->second.consumer.reset();
     const std::string id = at->second.id;
-    // What has not begun never will, whether or not the settings let calls be called off.
+    // What has not begun never will, and what has not been written whole never can be, whether or not the
+    // settings let calls be called off.
     const auto calls = at->second.calls;
     for (const auto& call : calls)
-        if (call && !call->begun()) call->abandon(Outcome::moot);
+        if (call && !call->complete()) call->abandon(Outcome::moot);
     forget_if_over(number);
     tell(slatejunction::ClientGone{id});
 }
--- a/src/provider/connection.hpp
+++ b/src/provider/connection.hpp
@@ -67,7 +67,7 @@
     bool probing() const { return !probe_path_.empty(); }
     bool dialling() const { return dialling_; }
     bool calling() const { return calling_; }
-    bool begun() const { return written_; }   // its call: something of it was given to the transport
+    bool complete() const { return written_ && whole_; }   // its call: all was given to the transport
     double free_since() const { return free_since_; }
 
     void on_open() override;
