Let other processes listen at the ports of connections that were dialled

Cause: the system gives a dialled connection any free port of its range. Where that is the port at which another ingress of the same machine is to listen, its start ended with "Address already in use" (status 2): SO_REUSEADDR of the listening socket helps only against sockets that have it too.

Dialled sockets carry the option now. Connections of other programs (consumers, the directory's agent) can still hold such a port: ports to listen at belong outside the system's range for dialled connections.

Without the change "a connection that was dialled keeps nobody from listening at its port" fails; with it it passes (release build).

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -55,6 +55,9 @@
     Error error;
     socket_ = make_socket(address, error);
     if (!socket_) return false;
+    // Guards against another process of this machine that can't start, as this connection, or its last
+    // state, has the port at which that one is to listen.
+    g_socket_set_option(socket_.get(), SOL_SOCKET, SO_REUSEADDR, 1, nullptr);
     GError* fault = nullptr;
     const bool up = g_socket_connect(socket_.get(), address, nullptr, &fault);
     error.reset(fault);
--- a/tests/ingress/parts_test.cpp
+++ b/tests/ingress/parts_test.cpp
@@ -1,4 +1,6 @@
 // Parts that need no program running.
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
@@ -459,3 +461,39 @@
     CHECK(passed(1, 0.05) < 19);    // a door alone knows more, and no lag hides it for longer than it lasts
     CHECK(passed(4, 2) == 30);      // inside the quota nothing is held back
 }
+
+// Guards against a process that does not start: the port of a connection that this one dialled may be the
+// one at which another ingress of the machine is to listen, and its connections' last states keep ports for
+// a minute.
+TEST_CASE("a connection that was dialled keeps nobody from listening at its port") {
+    const auto bound = [](int port, int& made) {
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        at.sin_port = htons(static_cast<std::uint16_t>(port));
+        made = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const int on = 1;
+        ::setsockopt(made, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        return ::bind(made, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0 && ::listen(made, 4) == 0;
+    };
+    const auto port_of = [](int fd) {
+        sockaddr_in at{};
+        socklen_t size = sizeof at;
+        REQUIRE(::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size) == 0);
+        return static_cast<int>(ntohs(at.sin_port));
+    };
+    struct Quiet : net::Protocol {
+        std::span<char> space() override { return {}; }
+        void on_bytes(std::size_t) override {}
+        void on_end(bool) override {}
+    };
+    int provider = -1, other = -1;
+    REQUIRE(bound(0, provider));
+    const auto protocol = std::make_shared<Quiet>();
+    net::Stream stream(*protocol);
+    REQUIRE(stream.dial(net::parse_address("127.0.0.1:" + std::to_string(port_of(provider))).get()));
+    CHECK(bound(port_of(stream.descriptor()), other));
+    stream.close();
+    ::close(provider);
+    ::close(other);
+}
