--- a/src/provider/pool.cpp
+++ b/src/provider/pool.cpp
@@ -30,21 +30,22 @@
       report_fields_(std::move(report_fields)) {}
 
 void Pool::update(const directory::Listing& listing) {
-    std::vector<std::string> before;
-    if (listing.update.kind != ListKind::changes)
-        for (const auto& [id, provider] : providers_) before.push_back(id);
+    const bool whole = listing.update.kind != ListKind::changes;
+    if (whole)
+        for (auto& [id, provider] : providers_) provider.named = false;
     for (std::size_t i = 0; i < listing.update.entries.size(); ++i) {
         const slatejunction::ListEntry& entry = listing.update.entries[i];
-        std::erase(before, entry.server);
         if (entry.state != ServerState::in) {
             const auto at = providers_.find(entry.server);
             if (at == providers_.end()) continue;
+            at->second.named = true;
             stop(at->first, at->second);
             // Guards against growth: on a long day new providers under new ids replace the old ones.
             if (entry.state == ServerState::out) providers_.erase(at);
             continue;
         }
         Provider& provider = providers_[entry.server];
+        provider.named = true;
         // At another address it may be another machine: nothing that is idle or dialling there is of use.
         if (provider.host_port != listing.addresses[i]) stop(entry.server, provider);
         provider.accepting = true;
@@ -52,11 +53,18 @@
         provider.host_port = listing.addresses[i];
         provider.address = net::parse_address(provider.host_port);
     }
-    for (const std::string& id : before) {   // a complete list that does not name it
-        const auto at = providers_.find(id);
-        if (at == providers_.end()) continue;
-        stop(id, at->second);
-        providers_.erase(id);
+    if (whole) forget_unnamed();
+}
+
+// Those that a complete list does not name.
+void Pool::forget_unnamed() {
+    for (auto at = providers_.begin(); at != providers_.end();) {
+        if (at->second.named) {
+            ++at;
+            continue;
+        }
+        stop(at->first, at->second);
+        at = providers_.erase(at);
     }
 }
 
--- a/src/provider/pool.hpp
+++ b/src/provider/pool.hpp
@@ -57,6 +57,7 @@
         std::string host_port;
         net::Address address;
         bool accepting = false;
+        bool named = true;                               // by the list that is being taken
         std::vector<std::shared_ptr<Connection>> idle;   // the most recent last
     };
     struct Linked;
@@ -66,6 +67,7 @@
                                       slatejunction::Outcome& failure);
     std::shared_ptr<Connection> take_idle(Provider& provider);
     bool make_room();
+    void forget_unnamed();
     void close_oldest(Provider& provider);   // of its idle ones; there is one
     void stop(const std::string& id, Provider& provider);
 
