Bound the stop: it ends before SIGKILL whatever clients, backends and receivers do

A stop waited for no connection at all and for 0.15 s without an accept, so that health checks or new connections that never cease kept the process for ever (74 s once, under a load that no front turned away).

operations::Shutdown now decides how a process ends, from facts and times alone; the ingress carries it out, also for a drained process and for one that has handed over. stop_bound_s() states the bound: the longest deadline of the classes, 3 s at least, plus 0.6 s, which is 0.1 s before the earliest SIGKILL. Health checks and connections that say nothing count as no sign that more requests come. 0.2 s before the bound what is open is answered by the usual way, 503 where no attempt was begun and 504 else; no request that came within 0.4 s of the signal is cut short. The parts get what is left of the time and are left behind when it is up; remote write waits no longer than that.

So the socket first answers no SYN for 0.05 s (a socket filter, not where another process has the socket too), is emptied and then closed. A client that knocks in that time is refused a second later, when it knocks again.

--- a/src/app/fleet_part.cpp
+++ b/src/app/fleet_part.cpp
@@ -206,7 +206,7 @@
     if (keep_note(message, answer)) peers_.send(from, peers::Channel::notes, lease::write(answer));
 }
 
-void FleetPart::stop(std::function<void()> done) {
+void FleetPart::stop(double, std::function<void()> done) {
     on_leaves();
     log_.event("ended", {});
     done();
--- a/src/app/fleet_part.hpp
+++ b/src/app/fleet_part.hpp
@@ -31,7 +31,7 @@
 
     const char* name() const override { return "peers"; }
     void start() override;
-    void stop(std::function<void()> done) override;
+    void stop(double most_s, std::function<void()> done) override;
     void prepare(const operating::Options& fresh, config::Config& config) override;
     std::string take(const operating::Options& fresh) override;
 
--- a/src/app/limits_part.cpp
+++ b/src/app/limits_part.cpp
@@ -55,7 +55,7 @@
     });
 }
 
-void LimitsPart::stop(std::function<void()> done) {
+void LimitsPart::stop(double, std::function<void()> done) {
     room_.wake(net::now());
     pump();
     stopped_ = true;
--- a/src/app/limits_part.hpp
+++ b/src/app/limits_part.hpp
@@ -17,7 +17,7 @@
                net::Timers& timers);
 
     const char* name() const override { return "limits"; }
-    void stop(std::function<void()> done) override;
+    void stop(double most_s, std::function<void()> done) override;
 
     void define(std::uint32_t limit, const rules::LimitSettings& settings) override;
     double look(double now, std::uint32_t limit, std::uint64_t key, double count) override;
--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -26,6 +26,8 @@
 namespace {
 
 constexpr double kLastLines = 0.5;   // s; at the end, for a log reader that is slow
+// s; of the time that is left for the end, what is kept for the log's last lines
+constexpr double kLastLinesLeast = 0.03;
 
 // Prints every fault of the operator's file; false when there is one.
 bool load_options(const std::string& path, operating::Options& options) {
@@ -84,7 +86,9 @@
     void start() override {
         telemetry_.start([this] { return ingress_.gauges(); });
     }
-    void stop(std::function<void()> done) override { telemetry_.stop(std::move(done)); }
+    void stop(double most_s, std::function<void()> done) override {
+        telemetry_.stop(most_s, std::move(done));
+    }
     std::string take(const operating::Options& fresh) override {
         telemetry_.reload(fresh);
         return {};
@@ -102,7 +106,10 @@
 
   private:
     void make(operating::Options& options);
-    void stop_parts(std::size_t left);
+    void stop();
+    void ingress_ended();
+    void stop_parts();
+    void leave_parts();
     void reload();
     void take(const operating::Options& fresh);
     void on_signal(int fd);
@@ -116,6 +123,9 @@
     std::unique_ptr<telemetry::Telemetry> telemetry_;   // lives longer than the ingress that tells it
     std::vector<std::unique_ptr<Part>> parts_;          // in the order of their start
     std::unique_ptr<ingress::Ingress> ingress_;
+    std::size_t parts_left_ = 0;   // while stopping: the last of these is being stopped
+    double ends_by_ = 0;           // s, net::now(); once the ingress has ended
+    net::Timer parts_timer_{timers_, [this] { leave_parts(); }};
 };
 
 // Nothing is made, counted or looked at where the operator's file names nothing of it.
@@ -128,7 +138,7 @@
         telemetry_ =
             std::make_unique<telemetry::Telemetry>(options, config, SLATEJUNCTION_VERSION, timers_, *log_);
     ingress_ = std::make_unique<ingress::Ingress>(
-        config, clock_, timers_, *log_, [this] { stop_parts(parts_.size()); }, telemetry_.get());
+        config, clock_, timers_, *log_, [this] { ingress_ended(); }, telemetry_.get());
     if (telemetry_) parts_.push_back(std::make_unique<TelemetryPart>(*telemetry_, *ingress_));
     RulesPart* rules = nullptr;
     if (!files_.options.empty()) {   // rules may come with a reload
@@ -157,10 +167,29 @@
                                                      telemetry_.get(), timers_, *log_));
 }
 
+void Program::ingress_ended() {
+    ends_by_ = ingress_->ends_by();
+    parts_left_ = parts_.size();
+    parts_timer_.arm(ends_by_ - kLastLinesLeast);
+    stop_parts();
+}
+
 // The last one first: what it still has to say goes through those before it.
-void Program::stop_parts(std::size_t left) {
-    if (left == 0) return g_main_loop_quit(loop_.get());
-    parts_[left - 1]->stop([this, left] { stop_parts(left - 1); });
+void Program::stop_parts() {
+    if (parts_left_ == 0) return g_main_loop_quit(loop_.get());
+    const double most_s = std::max(0.0, ends_by_ - kLastLinesLeast - net::now());
+    parts_[parts_left_ - 1]->stop(most_s, [this] {
+        --parts_left_;
+        stop_parts();
+    });
+}
+
+// Guards against a part that waits for something outside without end.
+void Program::leave_parts() {
+    if (parts_left_ > 0)
+        log_->write(Log::Level::warning, net::now(), "stopping: the time is up: %s is left unfinished",
+                    parts_[parts_left_ - 1]->name());
+    g_main_loop_quit(loop_.get());
 }
 
 // SIGHUP: the files have changed. Guards against one that is broken or half written: nothing of either
@@ -209,13 +238,20 @@
         log_->write(Log::Level::info, net::now(), "reloaded: after the next start: %s", later.c_str());
 }
 
+void Program::stop() {
+    ingress_->stop();
+    if (ends_by_ == 0) return;   // after a handover the parts may be stopping already, with more time
+    ends_by_ = std::min(ends_by_, ingress_->ends_by());
+    parts_timer_.arm(ends_by_ - kLastLinesLeast);
+}
+
 void Program::on_signal(int fd) {
     signalfd_siginfo info;
     if (read(fd, &info, sizeof info) != sizeof info) return;
     if (info.ssi_signo == SIGHUP)
         reload();
     else
-        ingress_->stop();
+        stop();
 }
 
 int Program::run() {
@@ -229,7 +265,7 @@
     if (!ingress_->start(why)) return fail(why);
     for (std::size_t i = parts_.size(); i-- > 0;) parts_[i]->start();
     g_main_loop_run(loop_.get());
-    log_->flush(kLastLines);
+    log_->flush(std::min(kLastLines, std::max(0.0, ends_by_ - net::now())));
     return 0;
 }
 
--- a/src/app/rules_part.cpp
+++ b/src/app/rules_part.cpp
@@ -35,7 +35,7 @@
     if (keeper_) keeper_->start();
 }
 
-void RulesPart::stop(std::function<void()> done) {
+void RulesPart::stop(double, std::function<void()> done) {
     if (keeper_) keeper_->stop();
     done();
 }
--- a/src/app/rules_part.hpp
+++ b/src/app/rules_part.hpp
@@ -26,7 +26,7 @@
 
     const char* name() const override { return "rules"; }
     void start() override;
-    void stop(std::function<void()> done) override;
+    void stop(double most_s, std::function<void()> done) override;
     void prepare(const operating::Options& fresh, config::Config& config) override;
     std::string take(const operating::Options& fresh) override;
 
--- a/src/consumer/server.cpp
+++ b/src/consumer/server.cpp
@@ -1,5 +1,6 @@
 #include "consumer/server.hpp"
 
+#include <algorithm>
 #include <vector>
 
 #include "net/spare.hpp"
@@ -41,7 +42,6 @@
 }
 
 void Server::take(net::Ref<GSocket> socket) {
-    last_taken_ = net::now();
     const auto linked = std::make_shared<Linked>(host_);
     sessions_.emplace(linked.get(), linked);
     linked->stream.adopt(std::move(socket));
@@ -74,4 +74,30 @@
     for (const auto& linked : all) linked->end();
 }
 
+void Server::turn_away(double retry_after_s) {
+    std::vector<std::shared_ptr<Linked>> all;
+    for (const auto& [session, linked] : sessions_)
+        if (session->half_through()) all.push_back(linked);
+    for (const auto& linked : all) linked->turn_away(retry_after_s);
+}
+
+void Server::end_all() {
+    std::vector<std::shared_ptr<Linked>> all;
+    for (const auto& [session, linked] : sessions_) all.push_back(linked);
+    for (const auto& linked : all) linked->end();
+}
+
+// Silent sessions on which bytes wait are known in a moment: they tell nothing now.
+Server::Census Server::census() const {
+    Census census;
+    for (const auto& [session, linked] : sessions_) {
+        if (session->checked_only()) continue;
+        if (!session->silent())
+            ++census.in_use;
+        else if (!linked->stream.readable())
+            census.last_unknown_at = std::max(census.last_unknown_at, session->since());
+    }
+    return census;
+}
+
 }   // namespace slatejunction::consumer
--- a/src/consumer/server.hpp
+++ b/src/consumer/server.hpp
@@ -21,8 +21,16 @@
     void end_idle(double now, double idle_s);   // those idle that long, or done but for the peer's part
     void forget(Session& session);
     void stop() { listener_.stop(); }
+    void refuse_new() { listener_.refuse_new(); }   // see net::Listener
+    void take_waiting_and_stop() { listener_.take_waiting_and_stop(); }
+    void turn_away(double retry_after_s);   // 503 to every request that is half through
+    void end_all();
     std::size_t sessions() const { return sessions_.size(); }
-    double last_taken() const { return last_taken_; }
+    struct Census {
+        std::size_t in_use = 0;       // sessions on which anything but health checks has come
+        double last_unknown_at = 0;   // s; the newest one on which nothing has come
+    };
+    Census census() const;
 
   private:
     struct Linked;
@@ -32,7 +40,6 @@
 
     SessionHost& host_;
     std::size_t most_;
-    double last_taken_ = 0;
     net::Listener listener_;
     std::unordered_map<Session*, std::shared_ptr<Linked>> sessions_;
 };
--- a/src/consumer/session.cpp
+++ b/src/consumer/session.cpp
@@ -155,6 +155,7 @@
     invocation->bytes = std::move(buffer_);
     buffer_ = std::move(next);
     if (health) return answer({host_.ready() ? 200 : 503, 0, {}, {}});
+    requested_ = true;
     const std::uint64_t number =
         host_.on_invocation(std::static_pointer_cast<Session>(shared_from_this()), std::move(invocation));
     if (busy_) number_ = number;
@@ -337,11 +338,15 @@
         if (number != 0) host_.on_left(number);
         return reject(408, "a body that stalls");
     }
-    if (!busy_ && !closing_ && !buffer_.view().empty() && !transport_->unsent())
-        return reject(408, "not whole in time");
+    if (half_through()) return reject(408, "not whole in time");
     end();
 }
 
+void Session::turn_away(double retry_after_s) {
+    keep_alive_ = false;
+    answer({503, retry_after_s, {}, {}});
+}
+
 int Session::spare_rank(double now) const {
     const double age = now - since_;
     if (busy_ || transport_->unsent()) return -1;
--- a/src/consumer/session.hpp
+++ b/src/consumer/session.hpp
@@ -43,6 +43,13 @@
     bool idle() const { return !busy_ && !closing_ && buffer_.view().empty() && !transport_->unsent(); }
     bool busy() const { return busy_; }
     bool closing() const { return closing_ && !transport_->unsent(); }
+    bool silent() const { return !asked_ && !closing_ && buffer_.view().empty(); }   // from the start
+    // Health checks came on it, and nothing else; no further request has begun.
+    bool checked_only() const { return asked_ && !requested_ && !busy_ && buffer_.view().empty(); }
+    bool half_through() const {   // a request has begun to come
+        return !busy_ && !closing_ && !buffer_.view().empty() && !transport_->unsent();
+    }
+    void turn_away(double retry_after_s);   // answers 503 to the request that has begun to come, and ends
     double since() const { return std::max(since_, moved_); }   // when it last changed its state, or moved
     // When its time is up in the state it is in: silent from the start, a request or an answer half
     // through, idle, or ended but for the peer's part. Never while an answer is owed.
@@ -87,6 +94,7 @@
     bool chunks_ = false;      // it goes out in chunks
     bool continued_ = false;   // 100 Continue was sent for the request that is coming
     bool asked_ = false;       // a whole request has come on it
+    bool requested_ = false;   // one that was handed on, which health checks are not
     bool busy_ = false;        // an answer is owed
     bool keep_alive_ = true;
     bool closing_ = false;   // its last answer is being written
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -9,6 +9,7 @@
 
 namespace slatejunction::ingress {
 
+using operations::Shutdown;
 using slatejunction::Outcome;
 
 namespace {
@@ -17,13 +18,6 @@
 constexpr double kSweepEvery = 0.2;    // s
 constexpr double kMemoryPart =
     0.2;   // of the memory, for the bytes of consumers, and for those of providers
-constexpr double kStopSweepEvery = 0.05;   // s, while stopping
-// New connections come for some tenths of a second after the stop, and on those open more requests may.
-constexpr double kStillComing = 0.6;   // s after the stop in which idle connections are kept
-constexpr double kQuiet = 0.15;        // s without use before one ends after that
-// A process that has handed over keeps idle consumers for longer: whoever asks once more is told to go by
-// the answer, and no close crosses a request.
-constexpr double kHandedStillComing = 1.2, kHandedQuiet = 0.5;   // s
 constexpr double kHandedIdle = 0.3;       // s; how long it keeps idle connections to providers
 constexpr std::size_t kHandedCalls = 4;   // connections to providers that it may open still
 constexpr std::size_t kHeirPart = 4;      // of the connections, what a new process finds at least
@@ -76,6 +70,7 @@
       gateway_(config_.settings, config_.seed),
       pool_(*this, timers_, limits_of(config_), provider_bytes_, config_.settings.report_fields),
       server_(*this, timers_, consumers_of(config_)),
+      shutdown_(operations::longest_deadline_s(config_.settings)),
       handover_(*this, timers_, log_, config_.temporary, config_.name, config_.listen),
       prepare_timer_(timers_, [this] { handover_.prepared(); }),
       watch_(std::make_shared<WatchLink>(static_cast<directory::WatchHost&>(*this), timers_, clock,
@@ -127,12 +122,13 @@
 }
 
 void Ingress::stop() {
-    if (stopping_) return;
-    stopping_ = true;
-    stopped_at_ = net::now();
+    if (shutdown_.told()) return;
+    const double now = net::now();
+    shutdown_.tell(now);
     handover_.stop();
-    sweep_timer_.arm(stopped_at_ + kStopSweepEvery);
-    log_.write(Log::Level::info, stopped_at_, "stopping: %zu invocations open", open_.size());
+    sweep_timer_.arm(shutdown_.advance_again_at(now));
+    log_.write(Log::Level::info, now, "stopping: %zu invocations open, ends within %.1f s", open_.size(),
+               shutdown_.ends_by() - now);
 }
 
 void Ingress::reload(const config::Config& fresh) {
@@ -167,32 +163,77 @@
     pool_.sweep(now);
     if (admin_) admin_->sweep(now);
     const bool drained = operations_.drained();
-    if (drained && now - drained_at_ > kStillComing) server_.end_idle(now, kQuiet);
-    const bool leaves = handover_.role().leaves();
-    if (leaves && now - given_at_ > kHandedStillComing) server_.end_idle(now, kHandedQuiet);
-    const bool stops = stopping_ && now - stopped_at_ > kStillComing;
-    if (stops) server_.end_idle(now, kQuiet);
-    if (stops || (leaves && now - given_at_ > kStillComing)) {
-        if (server_.sessions() == 0 && (leaves || now - server_.last_taken() > kQuiet)) {
-            server_.stop();
-            log_.write(Log::Level::info, now, "stopped");
-            return done_();
+    if (drained && now - drained_at_ > Shutdown::kStillComingS) server_.end_idle(now, Shutdown::kQuietS);
+    if (shutdown_.leaves()) {
+        if (wind_down(now)) return;
+        return sweep_timer_.arm(shutdown_.advance_again_at(now));
+    }
+    sweep_timer_.arm(now + (drained ? Shutdown::kLookEveryS : kSweepEvery));
+}
+
+bool Ingress::wind_down(double now) {
+    if (const auto most_s = shutdown_.idle_most_s(now)) server_.end_idle(now, *most_s);
+    for (;;) {
+        const auto census = server_.census();
+        switch (shutdown_.advance({now, handover_.role().leaves(), server_.sessions(), census.in_use,
+                                   last_request_at_, census.last_unknown_at})) {
+            case Shutdown::Act::none:
+                return false;
+            case Shutdown::Act::refuse_new:
+                if (!handover_.role().paired()) server_.refuse_new();
+                break;
+            case Shutdown::Act::stop_listening:
+                server_.take_waiting_and_stop();
+                break;
+            case Shutdown::Act::answer_owed:
+                answer_owed();
+                break;
+            case Shutdown::Act::end:
+                server_.stop();
+                server_.end_all();
+                log_.write(Log::Level::info, now, "stopped");
+                done_();
+                return true;
         }
     }
-    sweep_timer_.arm(now + (stopping_ || leaves || drained ? kStopSweepEvery : kSweepEvery));
+}
+
+// Each by the way of every answer, so that it gets this one and no other.
+void Ingress::answer_owed() {
+    std::vector<std::uint64_t> owed;
+    for (const auto& [number, open] : open_)
+        if (open.consumer) owed.push_back(number);
+    log_.write(Log::Level::warning, net::now(),
+               "stopping: the time is up: %zu requests are answered unfinished, %zu connections open",
+               owed.size(), server_.sessions());
+    for (const std::uint64_t number : owed) {
+        const auto at = open_.find(number);
+        if (at == open_.end() || !at->second.consumer) continue;
+        Open& open = at->second;
+        const bool sent_on =
+            open.ran || std::any_of(open.calls.begin(), open.calls.end(),
+                                    [](const auto& call) { return call && call->begun(); });
+        const int status = operations::forced_status(sent_on);
+        if (observer_) observe(open, Finish::How::failed, "stopped");
+        answer(open, {status, sent_on ? 0 : config_.settings.max_retry_after_s, {}, {}});
+        let_go(number);
+    }
+    server_.turn_away(config_.settings.max_retry_after_s);
 }
 
 // Facts. ----------------------------------------------------------------------------------------------
 
 std::uint64_t Ingress::on_invocation(std::shared_ptr<consumer::Consumer> consumer,
                                      std::shared_ptr<consumer::Invocation> invocation) {
-    if (config_.max_open > 0 && open_.size() >= config_.max_open) {
+    last_request_at_ = invocation->arrived;
+    const bool stopped = shutdown_.turns_away();
+    if (stopped || (config_.max_open > 0 && open_.size() >= config_.max_open)) {
         consumer->answer({503, config_.settings.max_retry_after_s, {}, {}});
         if (observer_)
             observer_->on_finish({*invocation,
-                                  Finish::How::refused,
-                                  metrics::kReasons[metrics::kOpenLimit],
-                                  metrics::kOpenLimit,
+                                  stopped ? Finish::How::failed : Finish::How::refused,
+                                  stopped ? "stopped" : metrics::kReasons[metrics::kOpenLimit],
+                                  stopped ? 0 : metrics::kOpenLimit,
                                   {},
                                   0,
                                   net::now() - invocation->arrived});
@@ -226,6 +267,12 @@
     if (at == open_.end() || !at->second.consumer) return;
     if (observer_) observe(at->second, Finish::How::failed, "left");
     at->second.consumer.reset();
+    let_go(number);
+}
+
+void Ingress::let_go(std::uint64_t number) {
+    const auto at = open_.find(number);
+    if (at == open_.end()) return;
     const std::string id = at->second.id;
     // What has not begun never will, whether or not the settings let calls be called off.
     const auto calls = at->second.calls;
@@ -265,11 +312,12 @@
         if (observer_) observe(open, Finish::How::served, "");
         answer(open, {200, 0, end.content_type, end.body, end.rest, end.length});
     }
+    const bool ran = end.outcome != Outcome::connect_failed && end.outcome != Outcome::full &&
+                     end.outcome != Outcome::moot;
+    open.ran = open.ran || ran;
     // Guards against a large request that is told to go on and can't: some of its bytes are gone.
     const bool missing = open.invocation->passed && end.outcome != Outcome::ok && !end.consumers_fault;
     if (missing && open.consumer) {
-        const bool ran = end.outcome != Outcome::connect_failed && end.outcome != Outcome::full &&
-                         end.outcome != Outcome::moot;
         if (observer_) observe(open, Finish::How::failed, "lost");
         answer(open, {ran ? 502 : 503, ran ? 0 : kMissingRetry, {}, {}});
     }
@@ -367,7 +415,7 @@
 
 admin::Reply Ingress::ready_call() const {
     if (handover_.role().leaves()) return {503, "handed over to a new process"};
-    if (stopping_) return {503, "stopping"};
+    if (shutdown_.told()) return {503, "stopping"};
     if (!handover_.role().accepts()) return {503, "taking over"};
     return {200, operations_.drained() ? "ready, and drained" : "ready"};
 }
@@ -393,7 +441,7 @@
             text = "drained";
             if (!operations_.drain()) break;
             drained_at_ = now;
-            sweep_timer_.arm(now + kStopSweepEvery);
+            sweep_timer_.arm(now + Shutdown::kLookEveryS);
             break;
         case What::activate:
             text = "active";
@@ -430,12 +478,14 @@
 void Ingress::on_role() {
     const handover::Role& role = handover_.role();
     if (role.leaves()) {
-        given_at_ = net::now();
+        const double now = net::now();
+        shutdown_.hand_over(now);
         server_.hold();
-        sweep_timer_.arm(given_at_ + kStopSweepEvery);
+        sweep_timer_.arm(shutdown_.advance_again_at(now));
         for (std::size_t i = 0; i < inheritors_.size(); ++i)
             if (const std::string what = inheritors_[i]->give(); !what.empty()) handover_.give(i, what);
     } else if (role.accepts()) {
+        shutdown_.take_back();
         server_.go_on();
     }
     pool_.set_idle_most(role.leaves() ? kHandedIdle : -1);
--- a/src/ingress/ingress.hpp
+++ b/src/ingress/ingress.hpp
@@ -19,6 +19,7 @@
 #include "ingress/part.hpp"
 #include "log/log.hpp"
 #include "operations/operations.hpp"
+#include "operations/shutdown.hpp"
 #include "provider/pool.hpp"
 #include "slatejunction/gateway.hpp"
 
@@ -35,7 +36,9 @@
             std::function<void()> done, Observer* observer = nullptr);
     ~Ingress();
     bool start(std::string& why);
-    void stop();   // finishes what was taken, then calls `done`
+    void stop();   // finishes what was taken, then calls `done`, see operations::Shutdown
+    // When the process has to be gone (s, net::now()); infinite as long as it is not to end.
+    double ends_by() const { return shutdown_.ends_by(); }
     // Takes a new configuration: moves the watch to where it says that the directory is. What it changes
     // beside that is named in the log and waits for the next start.
     void reload(const config::Config& fresh);
@@ -63,6 +66,7 @@
         std::array<Mark, kJudgesMost> marks{};   // of the judges, in their order
         std::size_t judged = 0;                  // by so many of them
         std::size_t over = 0;                    // whose wait it was that the module heard
+        bool ran = false;                        // an attempt that has ended may have run
     };
     struct DueTimer {
         double due;
@@ -76,10 +80,10 @@
     void on_left(std::uint64_t number) override;
     // A process that has handed over answers for the new one: the two are one ingress.
     bool ready() const override {
-        return (!stopping_ || handover_.role().leaves()) && !operations_.drained();
+        return (!shutdown_.told() || handover_.role().leaves()) && !operations_.drained();
     }
     bool stopping() const override {
-        return stopping_ || operations_.drained() || handover_.role().leaves();
+        return shutdown_.told() || operations_.drained() || handover_.role().leaves();
     }
     const slatejunction::Settings& settings() const override { return config_.settings; }
     bool is_open(std::string_view request_id) const override { return ids_.contains(request_id); }
@@ -123,10 +127,13 @@
     void answer(Open& open, const consumer::Answer& answer);
     void observe(const Open& open, Finish::How how, std::string_view reason, std::size_t refusal = 0);
     void forget_if_over(std::uint64_t number);
+    void let_go(std::uint64_t number);   // nothing is owed any more for one that is open still
     void judge(Open& open, slatejunction::Request& request);
     void lay_over(slatejunction::ListUpdate& list);
     void timers_due();
     void sweep();
+    bool wind_down(double now);   // true: it has ended
+    void answer_owed();
 
     const directory::UnixClock& clock_;
     Log& log_;
@@ -149,17 +156,16 @@
     std::unique_ptr<admin::Server> admin_;   // null: operators have no address
     operations::Operations operations_;
     double drained_at_ = 0;
+    operations::Shutdown shutdown_;
+    double last_request_at_ = 0;
     handover::Handover handover_;
     net::Timer prepare_timer_;   // while taking over
     handover::Use theirs_;       // what the other process holds
-    double given_at_ = 0;
     std::shared_ptr<WatchLink> watch_;
     std::vector<Judge*> judges_;
     std::vector<Overlay*> overlays_;
     std::vector<CallTaker*> takers_;
     std::vector<Inheritor*> inheritors_;
-    bool stopping_ = false;
-    double stopped_at_ = 0;
 };
 
 }   // namespace slatejunction::ingress
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -1,8 +1,10 @@
 #include "net/listener.hpp"
 
+#include <linux/filter.h>
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <iterator>
 
 #include "net/stream.hpp"
 
@@ -27,6 +29,17 @@
     return false;
 }
 
+constexpr unsigned kTcpFlagsAt = 13, kSyn = 0x02;   // the header's byte of flags (RFC 9293, section 3.1)
+
+// The system answers no new knock any more (a SYN), and finishes the handshakes that have begun.
+void drop_knocks(int fd) {
+    sock_filter code[] = {BPF_STMT(BPF_LD | BPF_B | BPF_ABS, kTcpFlagsAt),
+                          BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, kSyn, 0, 1), BPF_STMT(BPF_RET | BPF_K, 0),
+                          BPF_STMT(BPF_RET | BPF_K, 0xffffffff)};
+    const sock_fprog program{std::size(code), code};
+    ::setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+}
+
 }   // namespace
 
 Listener::Listener(Timers& timers, std::function<bool()> room, std::function<void(Ref<GSocket>)> taken,
@@ -77,6 +90,22 @@
     socket_.reset();
 }
 
+void Listener::refuse_new() {
+    if (!socket_ || held_) return;
+    drop_knocks(g_socket_get_fd(socket_.get()));
+    refusing_ = true;
+}
+
+// Bounded: more may come meanwhile.
+void Listener::take_waiting_and_stop() {
+    for (int i = 0; i <= kBacklog && socket_ && !held_ && room_(); ++i) {
+        Ref<GSocket> taken(g_socket_accept(socket_.get(), nullptr, nullptr));
+        if (!taken) break;
+        taken_(std::move(taken));
+    }
+    stop();
+}
+
 void Listener::poke() {
     if (socket_ && !held_ && !source_ && room_()) watch();
 }
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -20,8 +20,15 @@
     void adopt(Ref<GSocket> listening);
     void hold();
     void go_on();
-    int descriptor() const { return socket_ ? g_socket_get_fd(socket_.get()) : -1; }
+    // For another process; below 0: there is none to give.
+    int descriptor() const { return socket_ && !refusing_ ? g_socket_get_fd(socket_.get()) : -1; }
     void stop();
+    // Makes no new connection from here on, but accepts those whose handshake has begun. Guards against a
+    // close that resets them, with a request behind them maybe: close some time later. Not for a socket
+    // that another process has too.
+    void refuse_new();
+    // Accepts what waits, as far as there is room, and stops. Held: stops at once.
+    void take_waiting_and_stop();
     void poke();   // there may be room again
 
   private:
@@ -34,7 +41,7 @@
     std::function<void(const char*)> failed_;
     Ref<GSocket> socket_;
     Source source_;
-    bool held_ = false;
+    bool held_ = false, refusing_ = false;
 };
 
 }   // namespace slatejunction::net
--- a/src/telemetry/telemetry.cpp
+++ b/src/telemetry/telemetry.cpp
@@ -225,13 +225,13 @@
                later.empty() ? "" : "; after the next start: ", later.c_str());
 }
 
-void Telemetry::stop(std::function<void()> done) {
+void Telemetry::stop(double most_s, std::function<void()> done) {
     timer_.disarm();
     if (!driver_ || !gauges_) return done();
     sample();
     // Without a home the counters end here, and what comes after a start is another series' begin.
     if (!directory_) push(std::vector<double>(layout_->series.size(), remotewrite::stale_marker()), true);
-    driver_->finish(kStopMost, std::move(done));
+    driver_->finish(std::min(kStopMost, most_s), std::move(done));
 }
 
 void Telemetry::on_finish(const ingress::Finish& f) {
--- a/src/telemetry/telemetry.hpp
+++ b/src/telemetry/telemetry.hpp
@@ -31,8 +31,8 @@
     void join(std::function<void(metrics::Measures&)> counts) { counts_.push_back(std::move(counts)); }
     // Takes new options. What waits for the next start is named in the log.
     void reload(const operating::Options& options);
-    // The last samples: calls `done` once they have been taken, at most kStopMost later.
-    void stop(std::function<void()> done);
+    // The last samples: calls `done` once they have been taken, after `most_s` or kStopMost at the latest.
+    void stop(double most_s, std::function<void()> done);
 
     void on_finish(const ingress::Finish& finish) override;
     void on_attempt(slatejunction::Outcome outcome) override;
--- /dev/null
+++ b/tests/operations/shutdown_test.cpp
@@ -0,0 +1,266 @@
+// How a process ends: the bound, the order of its acts, and that health checks and silence do not prolong
+// it. Schedules are drawn by seed; the checker looks at the acts and the facts alone.
+#include "operations/shutdown.hpp"
+
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <functional>
+#include <limits>
+#include <random>
+#include <vector>
+
+namespace op = slatejunction::operations;
+using op::Shutdown;
+using Act = Shutdown::Act;
+
+namespace {
+
+constexpr double kStart = 1000;   // s; any time of the clock
+
+struct Done {
+    double at = 0;   // s since the process was told, or handed over
+    Act act = Act::none;
+};
+
+// Runs it as the driver does, until it has ended, and for at most `most_s`. `facts`: from the time since it
+// began.
+std::vector<Done> run(Shutdown& shutdown, const std::function<Shutdown::Facts(double)>& facts,
+                      double most_s = 200) {
+    std::vector<Done> all;
+    for (double now = kStart; now - kStart < most_s; now = shutdown.advance_again_at(now))
+        for (;;) {
+            Shutdown::Facts seen = facts(now - kStart);
+            seen.now = now;
+            const Act act = shutdown.advance(seen);
+            if (act != Act::none) all.push_back({now - kStart, act});
+            if (act == Act::end) return all;
+            if (act == Act::none) break;
+        }
+    return all;
+}
+
+std::vector<Act> acts(const std::vector<Done>& all) {
+    std::vector<Act> only;
+    for (const Done& one : all) only.push_back(one.act);
+    return only;
+}
+
+}   // namespace
+
+TEST_CASE("the bound lies before the earliest SIGKILL by the margin", "[operations][shutdown]") {
+    const double infinite = std::numeric_limits<double>::infinity();
+    const auto longest = [](std::vector<double> all) {
+        slatejunction::Settings settings;
+        for (const double one : all) {
+            settings.classes.emplace_back();
+            settings.classes.back().deadline_s = one;
+        }
+        return op::longest_deadline_s(settings);
+    };
+    REQUIRE(longest({}) == 0);
+    REQUIRE(longest({0, 0}) == 0);
+    REQUIRE(longest({4, 12, 0}) == 12);
+    REQUIRE(longest({1, infinite, std::nan("")}) == 1);
+    // SIGKILL: the longest deadline, 3 s at least, plus 0.7 s.
+    for (const double deadline : {0.0, 1.0, 3.0, 4.0, 12.0}) {
+        const double kill = std::max(3.0, deadline) + 0.7;
+        REQUIRE(op::stop_bound_s(deadline) == Approx(kill - op::kMarginS));
+        // A request that comes 0.4 s after the signal still has its whole time.
+        REQUIRE(op::force_after_s(deadline) >= std::max(3.0, deadline) + 0.4 - 1e-9);
+        REQUIRE(op::force_after_s(deadline) + op::kAnswersS + op::kPartsS <=
+                op::stop_bound_s(deadline) + 1e-9);
+        REQUIRE(op::close_after_s(deadline) > 0.6);
+    }
+}
+
+TEST_CASE("nothing to do: it ends once no more connections are expected", "[operations][shutdown]") {
+    Shutdown shutdown(12);
+    REQUIRE(std::isinf(shutdown.ends_by()));
+    REQUIRE(shutdown.advance({kStart}) == Act::none);
+    shutdown.tell(kStart);
+    REQUIRE(shutdown.ends_by() == Approx(kStart + op::stop_bound_s(12)));
+    const auto all = run(shutdown, [](double) { return Shutdown::Facts{}; });
+    REQUIRE(acts(all) == std::vector{Act::refuse_new, Act::stop_listening, Act::end});
+    REQUIRE(all.back().at > 0.6);
+    REQUIRE(all.back().at < 0.75);
+}
+
+TEST_CASE("health checks without pause do not prolong it", "[operations][shutdown]") {
+    Shutdown shutdown(12);
+    shutdown.tell(kStart);
+    // There is always one, and the listener's end leaves none.
+    const auto all = run(shutdown, [&](double) {
+        Shutdown::Facts facts;
+        facts.connections = shutdown.state() <= Shutdown::State::refusing ? 4 : 0;
+        return facts;
+    });
+    REQUIRE(acts(all) == std::vector{Act::refuse_new, Act::stop_listening, Act::end});
+    REQUIRE(all.back().at < 0.75);
+}
+
+TEST_CASE("an open request keeps it listening, for its whole time", "[operations][shutdown]") {
+    Shutdown shutdown(12);
+    shutdown.tell(kStart);
+    const auto all = run(shutdown, [&](double since) {
+        Shutdown::Facts facts;
+        facts.connections = facts.in_use = since < 11.5 ? 1 : 0;
+        return facts;
+    });
+    REQUIRE(acts(all) == std::vector{Act::refuse_new, Act::stop_listening, Act::end});
+    REQUIRE(all.back().at >= 11.5);
+    REQUIRE(all.back().at < 11.65);
+}
+
+TEST_CASE("whatever does not cease, it ends within the bound", "[operations][shutdown]") {
+    const double deadline = GENERATE(0.0, 1.0, 4.0, 12.0);
+    const int kind = GENERATE(0, 1, 2);
+    Shutdown shutdown(deadline);
+    shutdown.tell(kStart);
+    const auto all = run(shutdown, [&](double since) {
+        Shutdown::Facts facts;
+        facts.connections = 1;
+        if (kind == 0) facts.in_use = 1;                               // never done
+        if (kind == 1) facts.last_request_at = kStart + since - 0.1;   // new requests, each done at once
+        if (kind == 2) facts.last_unknown_at = kStart + since - 0.1;   // new connections that say nothing
+        return facts;
+    });
+    REQUIRE(acts(all) == std::vector{Act::refuse_new, Act::stop_listening, Act::answer_owed, Act::end});
+    REQUIRE(all[0].at >= op::close_after_s(deadline) - 1e-9);
+    REQUIRE(all[1].at >= all[0].at + op::kHandshakesS - 1e-9);
+    REQUIRE(all[2].at >= op::force_after_s(deadline) - 1e-9);
+    REQUIRE(all[2].at < op::force_after_s(deadline) + 0.01);
+    REQUIRE(all[3].at <= op::stop_bound_s(deadline) - op::kPartsS + 0.01);
+    REQUIRE(shutdown.turns_away());
+}
+
+TEST_CASE("told twice: the first time counts", "[operations][shutdown]") {
+    Shutdown shutdown(3);
+    shutdown.tell(kStart);
+    shutdown.tell(kStart + 2);
+    REQUIRE(shutdown.ends_by() == Approx(kStart + op::stop_bound_s(3)));
+}
+
+TEST_CASE("a process that stood still beyond its bound goes on in order", "[operations][shutdown]") {
+    Shutdown shutdown(3);
+    shutdown.tell(kStart);
+    Shutdown::Facts facts;
+    facts.now = kStart + 100;
+    facts.connections = facts.in_use = 1;
+    REQUIRE(shutdown.advance(facts) == Act::refuse_new);
+    REQUIRE(shutdown.advance(facts) == Act::none);
+    facts.now = shutdown.advance_again_at(facts.now);
+    REQUIRE(shutdown.advance(facts) == Act::stop_listening);
+    REQUIRE(shutdown.advance(facts) == Act::answer_owed);
+    REQUIRE(shutdown.advance(facts) == Act::none);   // what it took at last is read meanwhile
+    facts.now = shutdown.advance_again_at(facts.now) + op::kAnswersS;
+    REQUIRE(shutdown.advance(facts) == Act::end);
+    REQUIRE(shutdown.advance(facts) == Act::none);
+}
+
+TEST_CASE("handed over: it listens on nothing and ends with its last connection",
+          "[operations][shutdown]") {
+    Shutdown shutdown(12);
+    shutdown.hand_over(kStart);
+    REQUIRE_FALSE(shutdown.told());
+    SECTION("the last one goes") {
+        const auto all = run(shutdown, [](double since) {
+            Shutdown::Facts facts;
+            facts.another_accepts = true;
+            facts.connections = since < 3 ? 1 : 0;
+            facts.last_request_at = kStart + since;
+            return facts;
+        });
+        REQUIRE(acts(all) == std::vector{Act::end});
+        REQUIRE(all.back().at < 3.1);
+    }
+    SECTION("one never goes") {
+        const auto all = run(shutdown, [](double) {
+            Shutdown::Facts facts;
+            facts.another_accepts = true;
+            facts.connections = facts.in_use = 1;
+            return facts;
+        });
+        REQUIRE(acts(all) == std::vector{Act::answer_owed, Act::end});
+        REQUIRE(all.back().at <= op::stop_bound_s(12) + op::kHandedMoreS);
+    }
+    SECTION("told to end beside: the bound counts from there") {
+        shutdown.tell(kStart + 5);
+        REQUIRE(shutdown.ends_by() == Approx(kStart + 5 + op::stop_bound_s(12)));
+    }
+    SECTION("the new process goes: it serves as before") {
+        shutdown.take_back();
+        REQUIRE_FALSE(shutdown.leaves());
+        REQUIRE(shutdown.state() == Shutdown::State::serving);
+        REQUIRE_FALSE(shutdown.idle_most_s(kStart + 50));
+        REQUIRE(shutdown.advance({kStart + 50}) == Act::none);
+    }
+    SECTION("told beside, and the new process goes: it listens until it ends") {
+        shutdown.tell(kStart);
+        shutdown.take_back();
+        REQUIRE(acts(run(shutdown, [](double) { return Shutdown::Facts{}; })) ==
+                std::vector{Act::refuse_new, Act::stop_listening, Act::end});
+    }
+}
+
+TEST_CASE("idle connections are kept while more may come on them", "[operations][shutdown]") {
+    Shutdown shutdown(12);
+    REQUIRE_FALSE(shutdown.idle_most_s(kStart));
+    shutdown.hand_over(kStart);
+    REQUIRE_FALSE(shutdown.idle_most_s(kStart + 1.1));
+    REQUIRE(shutdown.idle_most_s(kStart + 1.3) == Shutdown::kHandedQuietS);
+    shutdown.tell(kStart + 2);
+    REQUIRE(shutdown.idle_most_s(kStart + 2.5) == Shutdown::kHandedQuietS);
+    REQUIRE(shutdown.idle_most_s(kStart + 2.7) == Shutdown::kQuietS);
+}
+
+TEST_CASE("by seed: each act once and in order, none too early, all within the bound",
+          "[operations][shutdown]") {
+    for (unsigned seed = 1; seed <= 500; ++seed) {
+        INFO("seed " << seed);
+        std::mt19937 random(seed);
+        const auto drawn = [&](double most) { return std::uniform_real_distribution<>(0, most)(random); };
+        const double deadline = drawn(15), busy_until = drawn(20), asks_until = drawn(20);
+        const double silence_until = drawn(20), stands_at = drawn(20),
+                     stands_s = seed % 5 == 0 ? drawn(5) : 0;
+        Shutdown shutdown(deadline);
+        shutdown.tell(kStart);
+        bool stood = false;
+        double now = kStart;
+        std::vector<Done> all;
+        while (shutdown.state() != Shutdown::State::ended && now < kStart + 100) {
+            Shutdown::Facts facts;
+            const double since = now - kStart;
+            facts.now = now;
+            facts.in_use = since < busy_until ? 1 : 0;
+            facts.connections = facts.in_use + (drawn(1) < 0.5 ? 1 : 0);
+            facts.last_request_at = kStart + std::min(since, asks_until) - drawn(0.1);
+            facts.last_unknown_at = kStart + std::min(since, silence_until) - drawn(0.1);
+            const Act act = shutdown.advance(facts);
+            if (act != Act::none) all.push_back({since, act});
+            // Not too early: it listens on while anything is going on that is no health check.
+            if (act == Act::refuse_new && since < op::close_after_s(deadline) - 1e-9) {
+                REQUIRE(since > 0.6);
+                REQUIRE(facts.in_use == 0);
+                REQUIRE(now - facts.last_request_at > 0.15);
+                REQUIRE(now - facts.last_unknown_at > 0.15);
+            }
+            if (act == Act::answer_owed) REQUIRE(since >= op::force_after_s(deadline) - 1e-9);
+            if (act == Act::end && facts.connections > 0) {
+                REQUIRE(all.size() >= 3);
+                REQUIRE(all[all.size() - 2].act == Act::answer_owed);
+            }
+            if (act != Act::none) continue;
+            now = shutdown.advance_again_at(now);
+            if (stands_s > 0 && !stood && now - kStart > stands_at) stood = true, now += stands_s;
+        }
+        REQUIRE(shutdown.state() == Shutdown::State::ended);
+        REQUIRE(all.size() >= 3);
+        REQUIRE(all[0].act == Act::refuse_new);
+        REQUIRE(all[1].act == Act::stop_listening);
+        REQUIRE(all[1].at - all[0].at >= op::kHandshakesS - 1e-9);
+        REQUIRE(all.back().act == Act::end);
+        REQUIRE(all.size() <= 4);
+        if (all.size() == 4) REQUIRE(all[2].act == Act::answer_owed);
+        REQUIRE(all.back().at <= op::stop_bound_s(deadline) - op::kPartsS + 0.01 + stands_s);
+    }
+}
