Bound the settings' figures; start without a known list that can't be read

MyNumber and MaxOpen went into casts as they stood: 1e308 has no defined value there. A `known` that is no list, or has no revision, ended the start, though the directory tells the list anew.

All figures lie between -1e15 and 1e15 now; a warning names each that is taken otherwise. Of `known` what can be read is used, and a warning tells the rest. Two classes or plans of one name: the first counts, a warning. At most eight warnings go to the log, check-config prints all. The configuration is parsed without recursion, as the directory's answers are: 200,000 brackets overflowed the stack in a build with sanitizers.

Ruled out: nonsense of the directory (ten kinds), twenty starts at once with a silent directory (ready 0.1 to 0.25 s after the first, bound 30 s): both passed before too.

--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -27,7 +27,8 @@
 namespace slatejunction::app {
 namespace {
 
-constexpr double kLastLines = 0.5;   // s; at the end, for a log reader that is slow
+constexpr std::size_t kWarningsMost = 8;   // of the configuration, in the log
+constexpr double kLastLines = 0.5;         // s; at the end, for a log reader that is slow
 // s; of the time that is left for the end, what is kept for the log's last lines
 constexpr double kLastLinesLeast = 0.03;
 
@@ -80,6 +81,16 @@
     }
 };
 
+// Not more lines than leave room for what the start has to say beside them.
+void tell_warnings(const config::Config& config, Log& log) {
+    const std::size_t told = std::min(kWarningsMost, config.warnings.size());
+    for (std::size_t i = 0; i < told; ++i)
+        log.write(Log::Level::warning, net::now(), "%s", config.warnings[i].c_str());
+    if (told < config.warnings.size())
+        log.write(Log::Level::warning, net::now(), "%zu warnings more of the configuration: check-config",
+                  config.warnings.size() - told);
+}
+
 class TelemetryPart final : public Part {
   public:
     TelemetryPart(telemetry::Telemetry& telemetry, ingress::Ingress& ingress)
@@ -134,6 +145,7 @@
 void Program::make(operating::Options& options) {
     auto config = config::load(files_.config, clock_);
     config::hold_descriptors(config);
+    tell_warnings(config, *log_);
     const Promised promised(files_, options, config);
     if (options.quota.on()) config.settings = quota::without_quotas(config.settings);
     if (options.collects() || options.log.requests != 0)
@@ -295,6 +307,7 @@
     bool good = load_options(files.options, options);
     try {
         const auto read = config::load(files.config, directory::UnixClock());
+        for (const std::string& line : read.warnings) std::printf("warning: %s\n", line.c_str());
         if (good) {
             const Promised promised(files, options, read);
             for (const std::string& line : promised.lines) std::printf("%s\n", line.c_str());
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -4,6 +4,7 @@
 #include <rapidjson/error/en.h>
 #include <sys/resource.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <cstdlib>
@@ -20,10 +21,13 @@
 
 constexpr std::size_t kSocketsLeast = 64;
 
+using Warnings = std::vector<std::string>;
+
 // An object and its path, for messages that name the field.
 class Node {
   public:
-    Node(const Json& json, std::string path) : json_(json), path_(std::move(path)) {
+    Node(const Json& json, std::string path, Warnings& warnings)
+        : json_(json), path_(std::move(path)), warnings_(warnings) {
         if (!json_.IsObject()) throw Bad(path_ + " is not an object");
     }
     std::string at(const char* name) const { return path_.empty() ? name : path_ + "." + name; }
@@ -38,7 +42,7 @@
     }
     std::optional<Node> node(const char* name) const {
         const Json* value = find(name);
-        return value ? std::optional<Node>(Node(*value, at(name))) : std::nullopt;
+        return value ? std::optional<Node>(Node(*value, at(name), warnings_)) : std::nullopt;
     }
     std::string text(const char* name) const { return find(name) ? text_of(*find(name), at(name)) : ""; }
     std::string needed_text(const char* name) const {
@@ -53,7 +57,11 @@
         const Json& value = need(name);
         if (!value.IsNumber() || !std::isfinite(value.GetDouble()))
             throw Bad(at(name) + " is not a number");
-        return value.GetDouble();
+        const double given = value.GetDouble();
+        const double taken = std::clamp(given, -kFigureMost, kFigureMost);
+        if (taken != given)
+            warn(at(name) + " is out of range and taken as " + (taken < 0 ? "-1e15" : "1e15"));
+        return taken;
     }
     double positive(const char* name, double otherwise) const {
         const double value = real(name, otherwise);
@@ -73,6 +81,8 @@
         for (rapidjson::SizeType i = 0; i < list->Size(); ++i)
             use((*list)[i], at(name) + "[" + std::to_string(i) + "]");
     }
+    void warn(std::string line) const { warnings_.push_back(std::move(line)); }
+    Warnings& warnings() const { return warnings_; }
     static std::string text_of(const Json& value, const std::string& path) {
         if (!value.IsString()) throw Bad(path + " is not a text");
         return {value.GetString(), value.GetStringLength()};
@@ -81,6 +91,7 @@
   private:
     const Json& json_;
     std::string path_;
+    Warnings& warnings_;
 };
 
 template <class T>
@@ -126,14 +137,27 @@
     return p;
 }
 
+// Of two of one name the second is never found.
+template <class Named>
+void add_named(std::vector<Named>& all, Named one, const Node& node) {
+    const auto same = [&](const Named& other) { return other.name == one.name; };
+    if (std::any_of(all.begin(), all.end(), same))
+        node.warn(node.at("Name") + " is given twice, the first counts: '" + one.name + "'");
+    all.push_back(std::move(one));
+}
+
 void read_settings(const Node& node, Config& config) {
     slatejunction::Settings& s = config.settings;
     node.need("Services");
-    node.each("Services",
-              [&](const Json& one, std::string path) { s.classes.push_back(read_class(Node(one, path))); });
+    node.each("Services", [&](const Json& one, const std::string& path) {
+        const Node its(one, path, config.warnings);
+        add_named(s.classes, read_class(its), its);
+    });
     if (s.classes.empty()) throw Bad(node.at("Services") + " is empty");
-    node.each("Contracts",
-              [&](const Json& one, std::string path) { s.plans.push_back(read_plan(Node(one, path))); });
+    node.each("Contracts", [&](const Json& one, const std::string& path) {
+        const Node its(one, path, config.warnings);
+        add_named(s.plans, read_plan(its), its);
+    });
     if (const auto reports = node.node("Telemetry")) {
         const std::string how = reports->text("How");
         if (how == "inline" || how == "on_probe")
@@ -147,14 +171,14 @@
                                                    {{"automatic", slatejunction::Discovery::automatic},
                                                     {"subscribe", slatejunction::Discovery::subscribe}},
                                                    slatejunction::Discovery::automatic);
-    s.my_number = static_cast<std::int64_t>(node.real("MyNumber"));
+    s.my_number = directory::whole(node.real("MyNumber"));
     s.balancers = node.needed_real("Balancers");
     s.quantum_s = node.real("QuantumS");
     if (const auto info = node.node("FamilyInfo")) {
         s.meter_period_s = info->real("MeterPeriodS");
         s.largest_units = info->real("UnitsTop");
     }
-    const Node limits(node.need("Limits"), node.at("Limits"));
+    const Node limits(node.need("Limits"), node.at("Limits"), config.warnings);
     s.attempts_cap = limits.needed_real("AttemptsCap");
     s.parallel_tries = limits.flag("ParallelTries");
     s.cancel = limits.flag("Cancel");
@@ -178,17 +202,32 @@
         throw Bad(std::string(field) + " is no address and port: '" + address + "'");
 }
 
+// Only a copy of what the directory tells anew: a fault in it is no reason not to start.
+void read_known(const Node& root, const directory::UnixClock& clock, Config& config) {
+    if (const Json* known = root.find("known")) {
+        int broken = 0;
+        if (!directory::read_copy(*known, clock, config.known, broken))
+            root.warn("known is not a list of the directory and was left out");
+        else if (!config.known.revision)
+            root.warn("known.revision is missing: the directory's whole list is asked for");
+        if (broken > 0)
+            root.warn("known.members: " + std::to_string(broken) +
+                      " entries that can't be read were left out");
+    }
+    config.known.update.kind = slatejunction::ListKind::warm_copy;
+}
+
 }   // namespace
 
 Config read(const std::string& text, const directory::UnixClock& clock) {
     rapidjson::Document json;
-    json.Parse(text.data(), text.size());
+    directory::parse(text, json);
     if (json.HasParseError())
         throw Bad(
             "configuration is not JSON: " + std::string(rapidjson::GetParseError_En(json.GetParseError())) +
             " at byte " + std::to_string(json.GetErrorOffset()));
-    const Node root(json, "");
     Config config;
+    const Node root(json, "", config.warnings);
     config.name = root.text("name");
     config.listen = root.text("listen");
     config.directory = root.text("discovery");
@@ -208,11 +247,8 @@
     // The module calls no counter, but a file that names a broken one is a broken file.
     if (const std::string counter = root.text("counter"); !counter.empty())
         check_address(counter, "counter");
-    read_settings(Node(root.need("settings"), "settings"), config);
-    int broken = 0;
-    if (const Json* known = root.find("known"); known && !read_listing(*known, clock, config.known, broken))
-        throw Bad("known is not a list of the directory");
-    config.known.update.kind = slatejunction::ListKind::warm_copy;
+    read_settings(Node(root.need("settings"), "settings", config.warnings), config);
+    read_known(root, clock, config);
     return config;
 }
 
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -4,12 +4,17 @@
 #include <cstdint>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 #include "directory/listing.hpp"
 #include "slatejunction/gateway.hpp"
 
 namespace slatejunction::config {
 
+// Figures beyond it, of either sign, are taken as it: no limit, rate or time is meant to be larger, and
+// every figure that is computed from them stays inside its type.
+inline constexpr double kFigureMost = 1e15;
+
 // Bad configuration: one line that names the field.
 struct Bad : std::runtime_error {
     using std::runtime_error::runtime_error;
@@ -29,6 +34,8 @@
     double keepalive_s = 30;
     slatejunction::Settings settings;
     directory::Listing known;
+    // What was taken otherwise than it stands in the file, one line each that names the field.
+    std::vector<std::string> warnings;
 };
 
 // At the start NODE_NAME, NODE_LISTEN and NODE_DISCOVERY go before the file. A reload is there to move the
--- a/src/directory/listing.cpp
+++ b/src/directory/listing.cpp
@@ -20,14 +20,17 @@
     return unix_ms > 0 ? std::max(unix_ms / 1000 - offset_s_, 1e-6) : 0;
 }
 
-namespace {
+void parse(std::string_view text, rapidjson::Document& json) {
+    json.Parse<rapidjson::kParseIterativeFlag>(text.data(), text.size());
+}
 
-// The cast of a number beyond all integers has no defined value.
 std::int64_t whole(double value) {
     constexpr double kLimit = 0x1p63;
     return value >= -kLimit && value < kLimit ? static_cast<std::int64_t>(value) : 0;
 }
 
+namespace {
+
 bool read_entry(const rapidjson::Value& json, const UnixClock& clock, slatejunction::ListEntry& entry,
                 std::string& address) {
     if (!json.IsObject()) return false;
@@ -60,20 +63,12 @@
     return !entry.server.empty() && (entry.state != ServerState::in || net::parse_address(address));
 }
 
-}   // namespace
-
-bool read_listing(const rapidjson::Value& json, const UnixClock& clock, Listing& listing, int& broken) {
-    broken = 0;
-    if (!json.IsObject()) return false;
-    const auto revision = json.FindMember("revision"), complete = json.FindMember("complete"),
-               members = json.FindMember("members");
-    if (revision == json.MemberEnd() || !revision->value.IsInt64() || complete == json.MemberEnd() ||
-        !complete->value.IsBool() || members == json.MemberEnd() || !members->value.IsArray())
-        return false;
-    listing.revision = revision->value.GetInt64();
+// Each member that can be read; how many can't.
+int read_members(const rapidjson::Value& members, const UnixClock& clock, Listing& listing) {
+    int broken = 0;
     listing.update.entries.clear();
     listing.addresses.clear();
-    for (const rapidjson::Value& member : members->value.GetArray()) {
+    for (const rapidjson::Value& member : members.GetArray()) {
         slatejunction::ListEntry entry;
         std::string address;
         if (!read_entry(member, clock, entry, address)) {
@@ -83,8 +78,35 @@
         listing.update.entries.push_back(std::move(entry));
         listing.addresses.push_back(std::move(address));
     }
+    return broken;
+}
+
+}   // namespace
+
+bool read_listing(const rapidjson::Value& json, const UnixClock& clock, Listing& listing, int& broken) {
+    broken = 0;
+    if (!json.IsObject()) return false;
+    const auto revision = json.FindMember("revision"), complete = json.FindMember("complete"),
+               members = json.FindMember("members");
+    if (revision == json.MemberEnd() || !revision->value.IsInt64() || complete == json.MemberEnd() ||
+        !complete->value.IsBool() || members == json.MemberEnd() || !members->value.IsArray())
+        return false;
+    listing.revision = revision->value.GetInt64();
+    broken = read_members(members->value, clock, listing);
     listing.update.kind = complete->value.GetBool() && broken == 0 ? ListKind::total : ListKind::changes;
     return true;
 }
 
+bool read_copy(const rapidjson::Value& json, const UnixClock& clock, Listing& listing, int& broken) {
+    broken = 0;
+    if (!json.IsObject()) return false;
+    const auto revision = json.FindMember("revision"), members = json.FindMember("members");
+    if (members == json.MemberEnd() || !members->value.IsArray()) return false;
+    listing.revision.reset();
+    if (revision != json.MemberEnd() && revision->value.IsInt64())
+        listing.revision = revision->value.GetInt64();
+    broken = read_members(members->value, clock, listing);
+    return true;
+}
+
 }   // namespace slatejunction::directory
--- a/src/directory/listing.hpp
+++ b/src/directory/listing.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "slatejunction/gateway.hpp"
@@ -29,8 +30,19 @@
     double offset_s_;
 };
 
+// Parses JSON that another system wrote. Iterative: the parser's stack must not grow with what is nested,
+// or some ten thousand brackets would end the program. Faults: json.HasParseError().
+void parse(std::string_view text, rapidjson::Document& json);
+
+// A figure as a whole number; 0 beyond all integers, as the cast of such a number has no defined value.
+std::int64_t whole(double value);
+
 // False when it is no list at all. An entry that can't be read is left out and counted in `broken`; a
 // complete list with such a hole is given as changes, so that it takes no provider away.
 bool read_listing(const rapidjson::Value& json, const UnixClock& clock, Listing& listing, int& broken);
 
+// The same for a copy that somebody kept: its members count whatever else is missing, as the directory's
+// own list follows. Without a revision that can be read it has none.
+bool read_copy(const rapidjson::Value& json, const UnixClock& clock, Listing& listing, int& broken);
+
 }   // namespace slatejunction::directory
--- a/src/directory/watch.cpp
+++ b/src/directory/watch.cpp
@@ -96,8 +96,7 @@
     if (parser_.head().status == 503 || parser_.head().status == 429) return turned_away();
     if (parser_.head().status != 200) return fail("an answer other than 200");
     rapidjson::Document json;
-    // Iterative: noise must not take the stack.
-    json.Parse<rapidjson::kParseIterativeFlag>(parser_.body().data(), parser_.body().size());
+    parse(parser_.body(), json);
     Listing listing;
     int broken = 0;
     if (json.HasParseError() || !read_listing(json, clock_, listing, broken)) {
