Ask an old process at the start for 3 s in all, whatever it does

One that said for nearly 4.5 s that it was busy and fell silent then held a start for over 5.5 s, of the 6 s that a new process has; what it waits for a list came on top. Handover::asks_within is the one bound now, checked against the wait for a list when compiled. ask() is cut into one call, its reading and the descriptors; a descriptor that does not listen is no answer; one without room for a call is told of in the log.

Ruled out: a hang in connect(2) with a full backlog. GIO's sockets never wait there; the program before went on at once. Silence, trickled bytes and lines without end were bounded by 1.5 s before too.

--- a/src/handover/handover.cpp
+++ b/src/handover/handover.cpp
@@ -2,6 +2,7 @@
 
 #include <gio/gunixfdmessage.h>
 #include <gio/gunixsocketaddress.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/un.h>
@@ -18,11 +19,10 @@
 namespace slatejunction::handover {
 namespace {
 
-constexpr double kTick = 0.05;       // s; how often each tells what it holds, where that has changed
-constexpr double kAnswer = 1.5;      // s; for an old process's answer: it may be busy
-constexpr double kBusy = 4.5;        // s; while an old process says that another one takes over
-constexpr double kBusyPause = 0.1;   // s
-constexpr double kConfirm = 0.6;     // s; for an order: operators wait 1 s
+constexpr double kTick = 0.05;     // s; how often each tells what it holds, where that has changed
+constexpr double kAnswer = 1.5;    // s; for an old process's answer: it may be busy
+constexpr int kPauseMs = 100;      // before asking again one that is busy
+constexpr double kConfirm = 0.6;   // s; for an order: operators wait 1 s
 constexpr std::size_t kStrangersMost = 8;
 constexpr int kPriority = G_PRIORITY_HIGH;
 
@@ -42,6 +42,44 @@
     return theirs && g_credentials_is_same_user(theirs.get(), ours.get(), nullptr);
 }
 
+// Only one that listens may stand for the listening socket.
+net::Ref<GSocket> listening_of(int fd) {
+    int listens = 0;
+    socklen_t size = sizeof listens;
+    if (::getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) != 0 || listens == 0) return nullptr;
+    return net::Ref<GSocket>(g_socket_new_from_fd(fd, nullptr));
+}
+
+// Takes the first descriptor that listens, closes all others.
+void take_descriptors(GSocketControlMessage* control, net::Ref<GSocket>& listening) {
+    if (!G_IS_UNIX_FD_MESSAGE(control)) return;
+    gint count = 0;
+    gint* const all = g_unix_fd_message_steal_fds(G_UNIX_FD_MESSAGE(control), &count);
+    for (gint i = 0; i < count; ++i) {
+        auto made = listening ? nullptr : listening_of(all[i]);
+        if (made)
+            listening = std::move(made);
+        else
+            ::close(all[i]);
+    }
+    g_free(all);
+}
+
+// What has come, and the descriptor with it. False: nothing more will.
+bool receive(GSocket* socket, std::string& got, net::Ref<GSocket>& listening) {
+    std::vector<char> bytes(64 * 1024);
+    GInputVector vector{bytes.data(), bytes.size()};
+    GSocketControlMessage** controls = nullptr;
+    gint count = 0;
+    const gssize size =
+        g_socket_receive_message(socket, nullptr, &vector, 1, &controls, &count, nullptr, nullptr, nullptr);
+    for (gint i = 0; i < count; ++i)
+        take_descriptors(net::Ref<GSocketControlMessage>(controls[i]).get(), listening);
+    g_free(controls);
+    if (size > 0) got.append(bytes.data(), static_cast<std::size_t>(size));
+    return size > 0;
+}
+
 }   // namespace
 
 std::string socket_path(const std::string& directory, const std::string& listen) {
@@ -134,83 +172,73 @@
                    directory_.empty() ? "TMPDIR is not set" : "TMPDIR is too long for a socket's path");
         return false;
     }
-    const double began = net::now();
+    const double until = net::now() + asks_within();
+    Answer answer = Answer::nobody;
     for (;;) {
-        auto socket = unix_socket();
-        if (!socket) return false;
-        const auto address = unix_address(path_);
-        if (!g_socket_connect(socket.get(), address.get(), nullptr, nullptr))
-            return false;   // nobody there
-        if (!same_user(socket.get())) {
-            log_.write(Log::Level::warning, net::now(), "handover: another user's process at %s",
-                       path_.c_str());
-            return false;
-        }
-        Message hello;
-        hello.name = name_;
-        hello.listen = listen_;
-        const std::string line = write(hello);
-        g_socket_set_blocking(socket.get(), FALSE);
-        g_socket_send(socket.get(), line.data(), line.size(), nullptr, nullptr);
-        std::string got;
-        const double until = net::now() + kAnswer;
-        bool busy = false, bad = false;
-        while (!busy && !bad) {
-            const double left = until - net::now();
-            if (left <= 0 || !g_socket_condition_timed_wait(
-                                 socket.get(), G_IO_IN, static_cast<gint64>(left * 1e6), nullptr, nullptr))
-                break;
-            std::vector<char> bytes(64 * 1024);
-            GInputVector vector{bytes.data(), bytes.size()};
-            GSocketControlMessage** controls = nullptr;
-            gint count = 0;
-            const gssize size = g_socket_receive_message(socket.get(), nullptr, &vector, 1, &controls,
-                                                         &count, nullptr, nullptr, nullptr);
-            for (gint i = 0; i < count; ++i) {
-                const net::Ref<GSocketControlMessage> control(controls[i]);
-                if (!G_IS_UNIX_FD_MESSAGE(control.get())) continue;
-                gint fds = 0;
-                gint* const all = g_unix_fd_message_steal_fds(G_UNIX_FD_MESSAGE(control.get()), &fds);
-                for (gint k = 0; k < fds; ++k) {
-                    net::Ref<GSocket> made(k == 0 && !listening ? g_socket_new_from_fd(all[k], nullptr)
-                                                                : nullptr);
-                    if (made)
-                        listening = std::move(made);
-                    else
-                        ::close(all[k]);
-                }
-                g_free(all);
-            }
-            g_free(controls);
-            if (size <= 0) break;
-            got.append(bytes.data(), static_cast<std::size_t>(size));
-            for (std::size_t end; !busy && !bad && (end = got.find('\n')) != std::string::npos;) {
-                Message message;
-                const bool good = read(std::string_view(got).substr(0, end), message);
-                got.erase(0, end + 1);
-                if (!good) {
-                    bad = true;
-                } else if (message.what == Message::What::busy) {
-                    busy = true;
-                } else if (message.what == Message::What::state) {
-                    if (!listening) break;
-                    state = std::move(message);
-                    role_.took_over();
-                    settled_ = role_.state();
-                    peer_ = std::make_shared<Link>(*this);
-                    peer_->adopt(std::move(socket), got);
-                    return true;
-                }
-            }
-            bad = bad || got.size() > kLineMost;
-        }
+        answer = ask_once(std::min(until, net::now() + kAnswer), state, listening);
+        if (answer == Answer::given) return true;
         listening.reset();
-        if (!busy || net::now() - began > kBusy) {
-            log_.write(Log::Level::warning, net::now(), "handover: %s; this process listens by itself",
-                       busy ? "another process is taking over" : "the process there gave no answer");
-            return false;
+        if (answer == Answer::nobody) return false;
+        if (answer != Answer::busy || net::now() + kPauseMs / 1000.0 > until) break;
+        ::poll(nullptr, 0, kPauseMs);
+    }
+    log_.write(
+        Log::Level::warning, net::now(), "handover: %s; this process listens by itself",
+        answer == Answer::busy ? "another process is taking over" : "the process there gave no answer");
+    return false;
+}
+
+Handover::Answer Handover::ask_once(double until, Message& state, net::Ref<GSocket>& listening) {
+    auto socket = unix_socket();
+    if (!socket) return Answer::nobody;
+    g_socket_set_blocking(socket.get(), FALSE);
+    const auto address = unix_address(path_);
+    GError* fault = nullptr;
+    const bool up = g_socket_connect(socket.get(), address.get(), nullptr, &fault);
+    const net::Error error(fault);
+    // Without room for a call it has stood still for many of them: GIO's sockets never wait in connect(2).
+    if (!up)
+        return g_error_matches(fault, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) ? Answer::unclear
+                                                                          : Answer::nobody;
+    if (!same_user(socket.get())) {
+        log_.write(Log::Level::warning, net::now(), "handover: another user's process at %s",
+                   path_.c_str());
+        return Answer::nobody;
+    }
+    Message hello;
+    hello.name = name_;
+    hello.listen = listen_;
+    const std::string line = write(hello);
+    g_socket_send(socket.get(), line.data(), line.size(), nullptr, nullptr);
+    return hear(socket, until, state, listening);
+}
+
+// Reads until there is an answer, or the time is up.
+Handover::Answer Handover::hear(net::Ref<GSocket>& socket, double until, Message& state,
+                                net::Ref<GSocket>& listening) {
+    std::string got;
+    for (;;) {
+        const double left = until - net::now();
+        if (left <= 0 || !g_socket_condition_timed_wait(socket.get(), G_IO_IN,
+                                                        static_cast<gint64>(left * 1e6), nullptr, nullptr))
+            return Answer::unclear;
+        if (!receive(socket.get(), got, listening)) return Answer::unclear;
+        for (std::size_t end; (end = got.find('\n')) != std::string::npos;) {
+            const std::string line = got.substr(0, end);
+            got.erase(0, end + 1);
+            Message message;
+            if (!read(line, message)) return Answer::unclear;
+            if (message.what == Message::What::busy) return Answer::busy;
+            if (message.what != Message::What::state) continue;
+            if (!listening) return Answer::unclear;
+            state = std::move(message);
+            role_.took_over();
+            settled_ = role_.state();
+            peer_ = std::make_shared<Link>(*this);
+            peer_->adopt(std::move(socket), got);
+            return Answer::given;
         }
-        ::usleep(static_cast<useconds_t>(kBusyPause * 1e6));
+        if (got.size() > kLineMost) return Answer::unclear;
     }
 }
 
--- a/src/handover/handover.hpp
+++ b/src/handover/handover.hpp
@@ -36,8 +36,11 @@
     Handover(const Handover&) = delete;
     Handover& operator=(const Handover&) = delete;
 
-    // At the start, before anything else, and for at most some seconds: asks a process that serves at this
-    // address. False: there is none that answers, this process listens by itself.
+    // s; the longest that ask() takes, whatever the process at the socket does: stands still, says nothing
+    // or half a line, says for ever that it is busy. A new process has 6 s until it serves.
+    static constexpr double asks_within() { return 3.0; }
+    // At the start, before anything else: asks a process that serves at this address. False: there is none
+    // that answers, this process listens by itself.
     bool ask(Message& state, net::Ref<GSocket>& listening);
     void start();      // the loop is about to run
     void prepared();   // everything is there for accepting
@@ -50,6 +53,11 @@
 
   private:
     class Link;
+    // What came of one call at the socket: nobody listens there; it said that another process takes over;
+    // nothing, or nothing that can be understood; all that there is to take over.
+    enum class Answer { nobody, busy, unclear, given };
+    Answer ask_once(double until, Message& state, net::Ref<GSocket>& listening);
+    Answer hear(net::Ref<GSocket>& socket, double until, Message& state, net::Ref<GSocket>& listening);
     static gboolean on_in(GSocket*, GIOCondition, gpointer self);
     void own_path(bool own);
     bool bind_path(std::string& why);
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t kHeirPart = 4;      // of the connections, what a new process finds at least
 constexpr double kPrepare = 0.3;          // s; a new process's wait for a list, if it knows one already
 constexpr double kPrepareAnew = 2.0;      // s; and if it knows none
+constexpr double kNewProcess = 6.0;       // s; until a new process must say yes
+static_assert(handover::Handover::asks_within() + kPrepareAnew < kNewProcess - 0.5);
 constexpr std::size_t kAdminMost = 48, kAdminPart = 12;   // operators' connections; of all descriptors
 constexpr double kMissingRetry = 0.5;   // s; Retry-After of a large request that can't be sent again here
 constexpr double kNearDue = 0.05;       // s; an abort so near to the due time is a time-out
