Try an address that is taken for 15 s before a start ends

A start ended at once with status 2 where NODE_LISTEN or the operators' address was taken for a moment, such as by a connection that got the port while a killed process was gone, or was not there yet. It is tried every 0.25 s now, for Ingress::listens_within, with a line at the first failure; 3 s for an old process and this stay under the 30 s that a restarted process has (checked when compiled). SIGTERM meanwhile ends it with status 0. The operators' address comes first, so that no consumer waits at a socket that nobody serves. A listener that failed keeps no socket.

--- a/src/admin/server.hpp
+++ b/src/admin/server.hpp
@@ -37,6 +37,7 @@
     Server(Host& host, net::Timers& timers, std::size_t most);
     ~Server();
     bool start(const std::string& address, std::string& why) { return listener_.start(address, why); }
+    bool listening() const { return listener_.descriptor() >= 0; }
     void sweep(double now);   // ends connections whose time is up
     std::size_t sessions() const { return sessions_.size(); }
 
--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -268,6 +268,15 @@
         stop();
 }
 
+// Before the loop runs: false where SIGTERM or SIGINT came. SIGHUP stays for the loop.
+bool pause_unless_told(double seconds) {
+    sigset_t numbers;
+    sigemptyset(&numbers);
+    for (const int number : {SIGTERM, SIGINT}) sigaddset(&numbers, number);
+    const timespec most{0, static_cast<long>(seconds * 1e9)};   // under a second
+    return sigtimedwait(&numbers, nullptr, &most) < 0;
+}
+
 int Program::run() {
     operating::Options options;
     if (!load_options(files_.options, options)) return kBadUse;
@@ -277,7 +286,7 @@
     if (!signals) return fail("no descriptor for signals: " + std::string(std::strerror(errno)));
     const net::Watch watch(timers_, signals.get(), [this, fd = signals.get()] { on_signal(fd); });
     std::string why;
-    if (!ingress_->start(why)) return fail(why);
+    if (!ingress_->start(why, pause_unless_told)) return why.empty() ? 0 : fail(why);
     for (std::size_t i = parts_.size(); i-- > 0;) parts_[i]->start();
     g_main_loop_run(loop_.get());
     log_->flush(std::min(kLastLines, std::max(0.0, ends_by_ - net::now())));
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -26,6 +26,9 @@
 constexpr double kPrepareAnew = 2.0;      // s; and if it knows none
 constexpr double kNewProcess = 6.0;       // s; until a new process must say yes
 static_assert(handover::Handover::asks_within() + kPrepareAnew < kNewProcess - 0.5);
+constexpr double kRestart = 30.0;       // s; until a process that was killed must serve again
+constexpr double kListenPause = 0.25;   // s; before an address is tried again
+static_assert(handover::Handover::asks_within() + Ingress::listens_within() < kRestart - 5);
 constexpr std::size_t kAdminMost = 48, kAdminPart = 12;   // operators' connections; of all descriptors
 constexpr double kMissingRetry = 0.5;   // s; Retry-After of a large request that can't be sent again here
 constexpr double kNearDue = 0.05;       // s; an abort so near to the due time is a time-out
@@ -89,13 +92,43 @@
         for (std::size_t i = 0; i < open.judged; ++i) judges_[i]->ended(*open.invocation, open.marks[i]);
 }
 
-bool Ingress::start(std::string& why) {
+// Operators' first: from the other one on consumers wait for their answers.
+bool Ingress::listen(std::string& why) {
+    if (admin_ && !admin_->listening() && !admin_->start(config_.admin, why)) {
+        why = "admin_addr can't be listened on: " + why;
+        return false;
+    }
+    if (server_.descriptor() < 0 && !server_.start(config_.listen, why)) {
+        why = "NODE_LISTEN can't be listened on: " + why;
+        return false;
+    }
+    return true;
+}
+
+// Guards against an address that is taken for a moment, such as by a connection that was made from its port
+// while the process before this one was gone.
+bool Ingress::listen_in_time(std::string& why, const std::function<bool(double)>& pause) {
+    const double until = net::now() + listens_within();
+    for (bool told = false; !listen(why); told = true) {
+        if (net::now() >= until) return false;
+        if (!told)
+            log_.write(Log::Level::warning, net::now(), "%s; it is tried again for %.0f s", why.c_str(),
+                       listens_within());
+        if (pause(kListenPause)) continue;
+        why.clear();
+        return false;
+    }
+    return true;
+}
+
+bool Ingress::start(std::string& why, const std::function<bool(double)>& pause) {
     tell(slatejunction::Start{});
     handover::Message state;
     net::Ref<GSocket> listening;
     const bool heir = handover_.ask(state, listening);
+    if (heir) server_.adopt(std::move(listening));
+    if (!listen_in_time(why, pause)) return false;
     if (heir) {
-        server_.adopt(std::move(listening));
         directory::Listing change;
         for (const std::string& id : state.listed) operations_.remember(id);
         for (const std::string& id : state.suspended) operations_.impose(id, change);
@@ -103,13 +136,6 @@
         theirs_ = state.use;
         share_out();
         prepare_timer_.arm(net::now() + (config_.known.update.entries.empty() ? kPrepareAnew : kPrepare));
-    } else if (!server_.start(config_.listen, why)) {
-        why = "NODE_LISTEN can't be listened on: " + why;
-        return false;
-    }
-    if (admin_ && !admin_->start(config_.admin, why)) {
-        why = "admin_addr can't be listened on: " + why;
-        return false;
     }
     operations_.lay_over(config_.known);
     pool_.update(config_.known);
--- a/src/ingress/ingress.hpp
+++ b/src/ingress/ingress.hpp
@@ -35,7 +35,13 @@
     Ingress(config::Config config, const directory::UnixClock& clock, net::Timers& timers, Log& log,
             std::function<void()> done, Observer* observer = nullptr);
     ~Ingress();
-    bool start(std::string& why);
+    // s; for so long an address that can't be listened on is tried again, then the start has failed. A
+    // process that was killed is to serve again within 30 s at the most, and asks at the handover's socket
+    // first.
+    static constexpr double listens_within() { return 15.0; }
+    // `pause` waits so many seconds and tells whether to go on; false: the program was told to end. False
+    // of the start: `why` it failed, empty where it was told to end.
+    bool start(std::string& why, const std::function<bool(double)>& pause);
     void stop();   // finishes what was taken, then calls `done`, see operations::Shutdown
     // When the process has to be gone (s, net::now()); infinite as long as it is not to end.
     double ends_by() const { return shutdown_.ends_by(); }
@@ -107,6 +113,8 @@
     bool on_order(const handover::Order& order) override;
     void on_part(std::size_t place, std::string_view what) override;
 
+    bool listen(std::string& why);   // at the addresses where it does not listen yet
+    bool listen_in_time(std::string& why, const std::function<bool(double)>& pause);
     admin::Reply ready_call() const;
     operations::Verdict carry_out(const handover::Order& order, bool from_other);
     void share_out();                               // of the limits, with the other process
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -62,6 +62,7 @@
         watch();
         return true;
     }
+    socket_.reset();   // bound or not, it does not listen
     if (fault) error.reset(fault);
     why = error ? error->message : "unknown";
     return false;
