Keep the log off other descriptors, and from waiting at a pipe that others fill

With a closed standard error the descriptor for signals, or a socket, got number 2 and with it the log's lines (seen with the started program): /dev/null is opened for each standard stream that is closed. A pipe that several programs write to could be filled by another one between poll and write, and the write waited for its reader: the pipe is opened anew for this program alone, without waiting.

Ruled out by tests that passed before: a full or broken standard error, limits on open files, hardly a descriptor left, signals that came before the start.

--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -15,6 +15,7 @@
 #include "app/draw.hpp"
 #include "app/fleet_part.hpp"
 #include "app/limits_part.hpp"
+#include "app/process.hpp"
 #include "app/quota_part.hpp"
 #include "app/rules_part.hpp"
 #include "config/config.hpp"
@@ -308,6 +309,7 @@
     for (const int number : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&numbers, number);
     sigprocmask(SIG_BLOCK, &numbers, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
+    open_standard_streams();
     return Program(files, numbers).run();
 }
 
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -1,5 +1,6 @@
 #include "log/log.hpp"
 
+#include <fcntl.h>
 #include <glib.h>
 #include <poll.h>
 #include <rapidjson/stringbuffer.h>
@@ -8,6 +9,7 @@
 #include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -80,7 +82,10 @@
 // kept up to a bound, in order; beyond it lines are counted, and told of once there is room.
 class Log::Sink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
   public:
-    explicit Sink(int fd) : fd_(fd) {}
+    explicit Sink(int fd) : own_(own_end(fd)), fd_(own_ >= 0 ? own_ : fd) {}
+    ~Sink() override {
+        if (own_ >= 0) ::close(own_);
+    }
     void set_room(std::size_t bytes) { room_ = bytes; }
     std::uint64_t lost() const { return lost_; }
 
@@ -113,6 +118,15 @@
     void flush_() override { drain(); }
 
   private:
+    // Guards against a pipe that other programs write to as well: one of them may fill it between the poll
+    // and the write, which would wait then. Opened anew it does not wait, and they keep their own way;
+    // below 0 where it is no pipe.
+    static int own_end(int fd) {
+        struct stat file {};
+        if (::fstat(fd, &file) != 0 || !S_ISFIFO(file.st_mode)) return -1;
+        const std::string path = "/proc/self/fd/" + std::to_string(fd);
+        return ::open(path.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+    }
     ssize_t write_some(const char* data, std::size_t size, int wait_ms) {
         pollfd one{fd_, POLLOUT, 0};
         if (::poll(&one, 1, wait_ms) != 1 || !(one.revents & POLLOUT)) return 0;
@@ -135,6 +149,7 @@
             kept_.append(data + done, size - done);
     }
 
+    const int own_;   // closed with this
     const int fd_;
     std::size_t room_ = 256 * 1024;
     std::string kept_;
