Refuse a reload of a pipe, and keep every fault of a reload inside its handler

On SIGHUP a configuration or operator's file that is a pipe by now (a shell's <(...)) was opened and waited for a writer for ever: nothing was served. It is refused now. The operator's file was read outside the handler that the rest of a reload has; a fault thrown there would have ended the program.

--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstring>
+#include <filesystem>
 #include <memory>
 #include <stdexcept>
 #include <vector>
@@ -125,6 +126,7 @@
     void stop_parts();
     void leave_parts();
     void reload();
+    bool reload_options(operating::Options& fresh);
     void take(const operating::Options& fresh);
     void on_signal(int fd);
 
@@ -212,14 +214,8 @@
 void Program::reload() {
     const double now = net::now();
     operating::Options fresh;
-    bool good = true;
-    if (!files_.options.empty())
-        for (const std::string& fault : operating::load(files_.options, fresh)) {
-            log_->write(Log::Level::error, now, "reload refused, nothing changes: %s", fault.c_str());
-            good = false;
-        }
-    if (!good) return;
     try {
+        if (!reload_options(fresh)) return;
         auto config = config::load(files_.config, clock_, config::Moment::reload);
         for (const auto& part : parts_) part->prepare(fresh, config);
         if (!files_.options.empty()) take(fresh);
@@ -229,6 +225,18 @@
     }
 }
 
+// False where it has faults. Guards against one that is a pipe by now, whose writer may never come.
+bool Program::reload_options(operating::Options& fresh) {
+    if (files_.options.empty()) return true;
+    std::error_code fault;
+    if (std::filesystem::is_fifo(files_.options, fault))
+        throw std::runtime_error(files_.options + ": is a pipe, which can't be read again");
+    const auto faults = operating::load(files_.options, fresh);
+    for (const std::string& one : faults)
+        log_->write(Log::Level::error, net::now(), "reload refused, nothing changes: %s", one.c_str());
+    return faults.empty();
+}
+
 void Program::take(const operating::Options& fresh) {
     if (!telemetry_) {
         log_->configure(fresh.log);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -8,6 +8,7 @@
 #include <charconv>
 #include <cmath>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <optional>
 #include <sstream>
@@ -259,6 +260,11 @@
     };
     const std::string file = path.empty() ? variable("NODE_CONFIG") : path;
     if (file.empty()) throw Bad("NODE_CONFIG is missing");
+    // Guards against a reload that waits for ever: a pipe that was read at the start may have no writer
+    // now.
+    std::error_code fault;
+    if (moment == Moment::reload && std::filesystem::is_fifo(file, fault))
+        throw Bad("NODE_CONFIG is a pipe, which can't be read again: '" + file + "'");
     std::ifstream in(file, std::ios::binary);
     std::stringstream text;
     text << in.rdbuf();
