Read the directory's news before what clients send

A watch's answer was one source among hundreds of ready ones of the same priority. Change: the watch's stream goes first in the loop, as the operators' and the hand-over's do.

--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -58,7 +58,9 @@
         attach(stream, [this] { return stream.dial(address.get()); });
     }
     net::Address address;
-    net::Stream stream{*this};
+    // News go before what clients ask: among hundreds of connections that are ready a drain would wait its
+    // turn while more is sent there.
+    net::Stream stream{*this, G_PRIORITY_HIGH};
 };
 
 Ingress::Ingress(config::Config config, const directory::UnixClock& clock, net::Timers& timers, Log& log,
