--- /dev/null
+++ b/src/rollout/feeder.hpp
@@ -0,0 +1,104 @@
+// The side towards children (ingresses and relays): remembers them, pushes what is new, answers their
+// pulls, and adds up what they report. Used by control machines, over their replica's committed records,
+// and by relays, over their follower's. No I/O or clock; what is drawn comes from the seed.
+//
+// A batch is encoded once for all children that are at the same version. What is pushed is not repeated: a
+// child that missed it asks.
+#pragma once
+
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "rollout/log.hpp"
+#include "rollout/message.hpp"
+#include "rollout/snapshot.hpp"
+
+namespace slatejunction::rollout {
+
+struct FeederSettings {
+    double batch_s = 0.1;                // new records wait so long for others
+    double silence_s = 4;                // a child not heard of for so long is silent
+    double remember_s = 86'400;          // a silent child is named for so long
+    double behind_s = 11;                // a child is behind if it lacks what was cleared so long ago
+    std::size_t children_most = 4'096;   // one more is not answered, so that it asks another parent
+    double bytes_per_s = 4'000'000;      // of answers that carry records or parts, over all children
+    std::size_t window_bytes = 8'000;    // of records in the answer to one pull
+    double snapshot_every_s = 10;        // a new one is made at most so often
+};
+
+struct FeederTally {
+    std::uint64_t pulls = 0, pushes = 0, posts_bytes = 0;
+    std::uint64_t encoded = 0;       // batches that were encoded; the others shared a body
+    std::uint64_t snapshots = 0;     // that were cut
+    std::uint64_t held_back = 0;     // answers over bytes_per_s
+    std::uint64_t turned_away = 0;   // pulls over children_most
+    std::uint64_t diverged = 0;      // pulls with a version of another sequence
+};
+
+class Feeder {
+  public:
+    // `log` lives longer. It may only grow at its end, and drop what advance() was not told of.
+    Feeder(const FeederSettings& settings, const Log& log);
+
+    // Records up to `committed` may be given to canaries, those up to staging.cleared to all.
+    void advance(double now, std::uint64_t committed, const Staging& staging);
+    // Pull, PartPull of a child; `process` tells two lives of one name apart.
+    void receive(double now, const std::string& from, std::uint64_t process, const Message& message);
+    void wake(double now);
+    double due() const;   // s
+    std::vector<Post> take_posts() { return std::exchange(posts_, {}); }
+
+    Report report(double now) const;
+    // Goes up when a canary's standing or a refusal changed: the report is wanted above at once then.
+    std::uint64_t urgent() const { return urgent_; }
+    std::size_t children() const { return children_.size(); }   // silent ones too
+    const FeederTally& tally() const { return tally_; }
+
+  private:
+    struct Child {
+        std::uint64_t process = 0;
+        double heard_at = 0;
+        std::uint64_t sent = 0;   // the last number given to it, as far as is known
+        bool following = false;   // it is at `sent`, and new records are pushed
+        Standing standing;
+        std::optional<Refusal> refusal;
+        std::optional<Report> subtree;
+    };
+
+    void on(double now, const std::string& from, std::uint64_t process, const Pull& pull);
+    void on(double now, const std::string& from, std::uint64_t process, const PartPull& pull);
+    template <class Other>
+    void on(double, const std::string&, std::uint64_t, const Other&) {}
+    void answer(double now, const std::string& from, Child& child, const Pull& pull);
+    void offer_snapshot(double now, const std::string& from);
+    void push(double now);
+    std::uint64_t limit(const std::string& name) const;
+    Offer offer(std::uint64_t after, std::uint64_t limit, std::size_t room) const;
+    bool behind(double now, const Child& child) const;
+    bool spend(double now, std::size_t bytes);
+    std::shared_ptr<const Snapshot> find(const Version& version) const;
+    std::shared_ptr<const Snapshot> newest(double now, std::uint64_t limit);
+    void forget(double now);
+    void send(const std::string& to, Body body);
+
+    const FeederSettings settings_;
+    const Log& log_;
+    std::uint64_t committed_ = 0;
+    Staging staging_;
+    std::map<std::string, Child> children_;
+    double push_at_ = 1e18, forget_at_ = 0;
+    std::deque<std::pair<double, std::uint64_t>> cleared_;                       // when, number
+    std::deque<std::pair<double, std::shared_ptr<const Snapshot>>> snapshots_;   // made when
+    double tokens_ = 0, tokens_at_ = 0;
+    std::uint64_t urgent_ = 0;
+    std::vector<Post> posts_;
+    FeederTally tally_;
+};
+
+}   // namespace slatejunction::rollout
--- /dev/null
+++ b/src/rollout/log.hpp
@@ -0,0 +1,66 @@
+// The records that a node keeps: a state at some version (the base), and every record after it. Pure.
+#pragma once
+
+#include <deque>
+#include <memory>
+
+#include "rollout/record.hpp"
+
+namespace slatejunction::rollout {
+
+class Log {
+  public:
+    Log() = default;   // version 0, nothing in it
+    // `term`: that of the record of version `base`.
+    Log(const Version& base, std::uint64_t term, State state)
+        : base_(base), base_term_(term), state_(std::move(state)) {}
+
+    const Version& base() const { return base_; }
+    std::uint64_t base_term() const { return base_term_; }
+    const State& base_state() const { return state_; }
+    Version last() const { return entries_.empty() ? base_ : entries_.back().version; }
+    std::uint64_t last_term() const { return entries_.empty() ? base_term_ : entries_.back().record->term; }
+    std::size_t size() const { return entries_.size(); }
+    std::size_t bytes() const { return bytes_; }
+
+    // Whether the version of this number is known: base().number to last().number.
+    bool knows(std::uint64_t number) const { return number >= base_.number && number <= last().number; }
+    Version version(std::uint64_t number) const;        // wants knows(number)
+    const Record& record(std::uint64_t number) const;   // wants number > base().number, knows(number)
+    bool holds(const Version& version) const {          // this very version
+        return knows(version.number) && this->version(version.number) == version;
+    }
+
+    // Adds the record if it is the next one, valid, and its term does not fall. False: nothing is changed.
+    bool push(const Record& record);
+    void truncate(std::uint64_t number);   // drops all records after this number; wants knows(number)
+    // Moves the base up, over the oldest records, until at most so many and so many bytes are kept, but not
+    // beyond `number`.
+    void trim(std::size_t records, std::size_t bytes, std::uint64_t number);
+
+    State state_at(std::uint64_t number) const;   // wants knows(number); takes time by the records kept
+    // The number of the record that reverts this one; 0: none of those kept.
+    std::uint64_t reverted_by(std::uint64_t number) const;
+    // The record to append that takes `number` back, but for its number and term. None: it isn't kept, is
+    // itself a revert or changes nothing, or is reverted already.
+    std::optional<Record> revert_of(std::uint64_t number) const;
+    // The highest number of at most `number` that lies in no reverted stretch: not at or after a record N
+    // and before the record (up to `seen`) that reverts it.
+    std::uint64_t whole_at_most(std::uint64_t number, std::uint64_t seen) const;
+
+  private:
+    struct Entry {
+        std::shared_ptr<const Record> record;   // shared by copies of a log
+        Version version;
+    };
+    const Entry& entry(std::uint64_t number) const { return entries_[number - base_.number - 1]; }
+
+    Version base_;
+    std::uint64_t base_term_ = 0;
+    State state_;   // at the base
+    std::deque<Entry> entries_;
+    std::map<std::uint64_t, std::uint64_t> reverts_;   // by the number reverted: the reverting one
+    std::size_t bytes_ = 0;
+};
+
+}   // namespace slatejunction::rollout
--- /dev/null
+++ b/src/rollout/message.hpp
@@ -0,0 +1,159 @@
+// What nodes of a rollout say to one another, as typed messages, and their bytes. Pure.
+//
+// Every message is carried sealed for one process (peers::Seal): what was sent to an earlier process of a
+// name never reaches a later one. Replica and Source rest on that.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "rollout/report.hpp"
+
+namespace slatejunction::rollout {
+
+inline constexpr std::size_t kBodyMost = 1000;   // bytes of a message
+
+// How far the rollout of committed records has come, as a source said it. `cleared` never falls; for the
+// rest the higher term counts.
+struct Staging {
+    std::uint64_t term = 0;
+    std::uint64_t cleared = 0;        // every follower may have it in force
+    std::uint64_t canary_below = 0;   // followers whose hash_of(name) is below it take what is committed
+    bool operator==(const Staging&) const = default;
+    void merge(const Staging& other);
+    bool canary(std::string_view name) const { return hash_of(name) < canary_below; }
+};
+
+// --- between a feeder and its children
+
+// A child says what it has, and asks for what comes after it.
+struct Pull {
+    std::string name;
+    Version have;                 // the last record it holds
+    std::uint64_t in_force = 0;   // <= have.number
+    std::uint64_t refused = 0;    // a number that it can't use; 0: none
+    std::string reason;           // of the refusal
+    Trouble trouble = Trouble::none;
+    bool leaving = false;            // it has another parent now
+    std::optional<Report> subtree;   // of a relay: all below it
+    bool operator==(const Pull&) const = default;
+};
+// Records after `previous`; none: an answer that there is nothing new.
+struct Offer {
+    Staging staging;
+    Version previous;
+    std::vector<Record> records;
+    std::uint64_t limit = 0;   // what this child may have in force, and a version that is meant to be
+    bool more = false;         // there is more after these; pull again at once
+    bool diverged = false;     // the child's version is none of this sequence
+    bool left = false;         // answers a `leaving`
+    bool operator==(const Offer&) const = default;
+};
+// Wants parts of a snapshot, `count` from index `from` on.
+struct PartPull {
+    Version version;
+    std::uint32_t from = 0, count = 0;
+    bool operator==(const PartPull&) const = default;
+};
+// One part of the state at a version; the first one tells that a snapshot is to be taken.
+struct SnapshotPart {
+    Version version;
+    std::uint64_t term = 0;    // of the record of that version
+    std::uint64_t check = 0;   // check_of() the whole state
+    std::uint32_t index = 0, parts = 1;
+    std::vector<std::pair<std::string, std::string>> entries;
+    Staging staging;
+    bool operator==(const SnapshotPart&) const = default;
+};
+
+// --- between a source and the replicas
+
+// Asks for the promise to take no append under a lower term.
+struct Prepare {
+    std::uint64_t term = 0;
+    bool operator==(const Prepare&) const = default;
+};
+struct Promise {
+    std::uint64_t term = 0;       // of the Prepare
+    std::uint64_t promised = 0;   // the highest; above `term`: refused
+    std::uint64_t process = 0;
+    bool remembers = false;
+    bool operator==(const Promise&) const = default;
+};
+struct Inspect {
+    std::uint64_t term = 0;
+    bool operator==(const Inspect&) const = default;
+};
+struct Holding {
+    std::uint64_t term = 0, process = 0;
+    bool remembers = false;
+    Version last;
+    std::uint64_t last_term = 0, committed = 0, base = 0, cleared = 0;
+    bool operator==(const Holding&) const = default;
+};
+// Asks for the records after a number.
+struct Fetch {
+    std::uint64_t term = 0, after = 0;
+    bool operator==(const Fetch&) const = default;
+};
+struct Fetched {
+    std::uint64_t term = 0;
+    Version previous;
+    std::vector<Record> records;
+    bool operator==(const Fetched&) const = default;
+};
+struct Append {
+    std::uint64_t term = 0;
+    Version previous;
+    std::vector<Record> records;   // none: a heartbeat
+    std::uint64_t committed = 0;
+    Staging staging;
+    bool admit = false;   // a replica that had lost its disk counts again once it matches this
+    bool operator==(const Append&) const = default;
+};
+struct Appended {
+    std::uint64_t term = 0;       // of the Append
+    std::uint64_t promised = 0;   // above `term`: refused
+    std::uint64_t process = 0;
+    bool remembers = false;
+    bool matches = false;   // `last` agrees with the source's log up to last.number
+    Version last;           // matches: what is agreed on; else the last record it has
+    std::uint64_t committed = 0;
+    bool disk_failed = false;
+    bool operator==(const Appended&) const = default;
+};
+// A control machine tells the source of the followers that it feeds.
+struct Told {
+    Report report;
+    bool operator==(const Told&) const = default;
+};
+
+using Message = std::variant<Pull, Offer, PartPull, SnapshotPart, Prepare, Promise, Inspect, Holding, Fetch,
+                             Fetched, Append, Appended, Told>;
+
+// At most kBodyMost bytes where records() or parts were filled by the helpers below.
+std::string encode(const Message& message);
+// None: the bytes are no message, or a field is outside of what is allowed.
+std::optional<Message> decode(std::string_view bytes);
+
+// Bytes of a record, of an entry in a message, with its tag and length.
+std::size_t encoded_size(const Record& record);
+std::size_t encoded_size(const std::string& key, const std::string& value);
+std::size_t encoded_size(const Report& report);
+// Room for records in an Offer, Fetched or Append, and for entries in a SnapshotPart.
+inline constexpr std::size_t kRecordsRoom = 860;
+inline constexpr std::size_t kEntriesRoom = 860;
+
+using Body = std::shared_ptr<const std::string>;
+inline Body body_of(const Message& message) { return std::make_shared<const std::string>(encode(message)); }
+// To be sent to the node of this name (its process that was heard last). Several posts share one body.
+struct Post {
+    std::string to;
+    Body body;
+};
+
+}   // namespace slatejunction::rollout
