--- a/src/rollout/feeder.hpp
+++ b/src/rollout/feeder.hpp
@@ -62,7 +62,7 @@
 
   private:
     struct Child {
-        std::uint64_t process = 0;
+        std::uint64_t process = 0, hash = 0;
         double heard_at = 0;
         std::uint64_t sent = 0;   // the last number given to it, as far as is known
         bool following = false;   // it is at `sent`, and new records are pushed
@@ -78,13 +78,14 @@
     void answer(double now, const std::string& from, Child& child, const Pull& pull);
     void offer_snapshot(double now, const std::string& from);
     void push(double now);
-    std::uint64_t limit(const std::string& name) const;
-    Offer offer(std::uint64_t after, std::uint64_t limit, std::size_t room) const;
+    std::uint64_t limit(const Child& child) const;
+    Offer idle(std::uint64_t most) const;
+    std::vector<Body> batches(std::uint64_t from, std::uint64_t end, std::uint64_t most,
+                              std::uint64_t& reached) const;
     bool behind(double now, const Child& child) const;
     bool spend(double now, std::size_t bytes);
-    std::shared_ptr<const Snapshot> find(const Version& version) const;
-    std::shared_ptr<const Snapshot> newest(double now, std::uint64_t limit);
-    void forget(double now);
+    std::shared_ptr<const Snapshot> newest(double now);
+    void forget(double now, double silent_s);
     void send(const std::string& to, Body body);
 
     const FeederSettings settings_;
--- a/src/rollout/follower.hpp
+++ b/src/rollout/follower.hpp
@@ -42,8 +42,8 @@
     double prepare_s = 0.25;       // the least time between two versions
     double disk_retry_s = 2;       // after a home that could not keep a version
     std::size_t records_kept = 0, bytes_kept = 0;   // behind the version in force: for a relay's feeder
-    std::size_t held_most = 60'000;                 // records ahead of the version in force
-    std::size_t compact_after = 2'000;              // records appended to the home, until it is compacted
+    std::size_t held_most = 8'000;   // records ahead of the version in force: with half of them it goes on
+    std::size_t compact_after = 2'000;   // records appended to the home, until it is compacted
 };
 
 // The parents in the order in which this follower asks them: those of its region, then the others, each by
@@ -97,43 +97,63 @@
     const FollowerTally& tally() const { return tally_; }
 
   private:
+    struct Leaving {   // a parent that is to be told
+        double at = 0;
+        unsigned tries = 0;
+    };
+
     void on(double now, const std::string& from, const Offer& offer);
     void on(double now, const std::string& from, const SnapshotPart& part);
     template <class Other>
     void on(double, const std::string&, const Other&) {}
     void heard(double now, const std::string& from);
     bool take(const Offer& offer);
-    void take_held();
+    void take_early();
+    bool full() const;
+    std::uint64_t next_target();
     void prepare(double now);
-    bool put(double now, std::uint64_t number);   // in force
-    std::string try_version(std::uint64_t number, Changes& undo);
+    void put_best(double now, std::uint64_t top);
+    enum class Put { in_force, refused, disk };
+    Put put(double now, std::uint64_t number, std::string& why);
+    std::string try_changes(Changes& changes);
+    Changes changes_to(std::uint64_t number) const;
+    void enter(double now, const Version& version, Changes changes);
     void take_whole(double now);
+    void compact();
+    Pull what_to_say() const;
     void pull(double now);
-    void pull_soon(double now, double wait_s);
+    void pull_at(double time) { pull_at_ = std::min(pull_at_, time); }
     void move(double now);
     void leave(double now);
+    void settle_at(double now, std::size_t parent);
     double jittered(double s);
+    double drawn(double from, double to);
 
     const FollowerSettings settings_;
     FollowerHome& home_;
     const Check check_;
     std::mt19937_64 random_;
     const std::vector<std::string> order_;
-    std::size_t at_ = 0;
+    std::size_t at_ = 0;   // in order_
     Log log_;
     State state_;   // in force
     Version in_force_;
     Staging staging_;
-    std::uint64_t limit_ = 0, target_ = 0;
-    std::map<std::uint64_t, Offer> early_;           // by the previous number: came before what they follow
-    std::uint64_t refused_ = 0, refused_with_ = 0;   // with: the last record held when it was tried
+    std::uint64_t limit_ = 0;                // the highest told
+    std::uint64_t target_ = 0;               // to be put in force next; stands until it is reached
+    std::map<std::uint64_t, Offer> early_;   // by the previous number: came before what they follow
+    std::uint64_t refused_ = 0;
+    std::uint64_t refused_with_ = 0;   // the last record held when it was tried
+    bool whole_refused_ = false;       // a snapshot, in which no single number is to blame
     std::string reason_;
     bool diverged_ = false, disk_failed_ = false;
-    double pull_at_ = 1e18, prepare_at_ = 1e18, prepared_at_ = -1e18, move_at_ = 1e18, home_at_ = 1e18;
+    double pull_at_ = 1e18, asked_at_ = -1e18, move_at_ = 1e18, home_at_ = 1e18, leave_at_ = 1e18;
+    double prepare_at_ = 1e18, prepared_at_ = -1e18, whole_after_ = -1e18;
     double heard_at_ = -1e18;
-    unsigned unanswered_ = 0, silent_round_ = 0;
-    std::map<std::string, double> leaving_;   // parents to tell that it has left, when
+    unsigned unanswered_ = 0, silent_ = 0;   // pulls to this parent; parents in a row
+    std::map<std::string, Leaving> leaving_;
     SnapshotTaker taker_;
+    std::string taking_from_;
     std::optional<Report> subtree_;
     std::size_t since_compact_ = 0;
     std::vector<Post> posts_;
--- a/src/rollout/message.hpp
+++ b/src/rollout/message.hpp
@@ -75,13 +75,15 @@
 // Asks for the promise to take no append under a lower term.
 struct Prepare {
     std::uint64_t term = 0;
+    std::uint64_t nonce = 0;   // of this hold of the lease: two processes may hold it under one number
     bool operator==(const Prepare&) const = default;
 };
 struct Promise {
     std::uint64_t term = 0;       // of the Prepare
-    std::uint64_t promised = 0;   // the highest; above `term`: refused
+    std::uint64_t promised = 0;   // the highest
     std::uint64_t process = 0;
     bool remembers = false;
+    bool granted = false;
     bool operator==(const Promise&) const = default;
 };
 struct Inspect {
@@ -104,6 +106,7 @@
     std::uint64_t term = 0;
     Version previous;
     std::vector<Record> records;
+    bool end = false;   // the last of those that answer one Fetch
     bool operator==(const Fetched&) const = default;
 };
 struct Append {
--- /dev/null
+++ b/src/rollout/record.cpp
@@ -0,0 +1,69 @@
+#include "rollout/record.hpp"
+
+#include "store/store.hpp"
+
+namespace slatejunction::rollout {
+namespace {
+
+void put_number(std::string& out, std::uint64_t value) {
+    for (int shift = 0; shift < 64; shift += 8) out.push_back(static_cast<char>(value >> shift));
+}
+void put_text(std::string& out, std::string_view text) {
+    put_number(out, text.size());
+    out.append(text);
+}
+
+}   // namespace
+
+// The bytes that a chain is taken over stand here, apart from any message's form: they never change.
+Version after(const Version& previous, const Record& record) {
+    std::string bytes;
+    bytes.reserve(6 * 8 + record.key.size() + record.value.size());
+    put_number(bytes, record.number);
+    put_number(bytes, record.term);
+    put_number(bytes, static_cast<std::uint64_t>(record.kind));
+    put_number(bytes, record.reverts);
+    put_text(bytes, record.key);
+    put_text(bytes, record.value);
+    return {record.number, store::check_of(bytes.data(), bytes.size(), previous.chain)};
+}
+
+bool valid(const Record& record) {
+    if (record.number == 0 || record.reverts >= record.number) return false;
+    if (record.key.size() > kKeyMost || record.value.size() > kValueMost) return false;
+    switch (record.kind) {
+        case Kind::put:
+            return !record.key.empty();
+        case Kind::erase:
+            return !record.key.empty() && record.value.empty();
+        case Kind::none:
+            return record.key.empty() && record.value.empty() && record.reverts == 0;
+    }
+    return false;
+}
+
+void apply(State& state, const Record& record) {
+    if (record.kind == Kind::put) state[record.key] = record.value;
+    if (record.kind == Kind::erase) state.erase(record.key);
+}
+
+void exchange(State& state, Changes& changes) {
+    for (auto& [key, value] : changes) {
+        const auto at = state.find(key);
+        std::optional<std::string> old;
+        if (at != state.end()) old = std::move(at->second);
+        if (value && at != state.end())
+            at->second = std::move(*value);
+        else if (value)
+            state.emplace(key, std::move(*value));
+        else if (at != state.end())
+            state.erase(at);
+        value = std::move(old);
+    }
+}
+
+std::size_t size_of(const Record& record) { return 64 + record.key.size() + record.value.size(); }
+
+std::uint64_t hash_of(std::string_view name) { return store::check_of(name.data(), name.size()); }
+
+}   // namespace slatejunction::rollout
--- a/src/rollout/replica.hpp
+++ b/src/rollout/replica.hpp
@@ -48,6 +48,8 @@
     const std::string& source() const { return source_; }   // whose append was taken last; empty: nobody's
     double heard_at() const { return heard_at_; }           // s; when that was
     bool disk_failed() const { return disk_failed_; }       // the last thing to keep could not be kept
+    // Committed records here differ from a source's: it takes nothing of it.
+    bool diverged() const { return diverged_; }
     // Goes up when committed() or staging() changed: the feeder is to be told then.
     std::uint64_t changes() const { return changes_; }
 
@@ -61,8 +63,10 @@
     template <class Other>
     void on(double, const std::string&, const Other&) {}
     bool promise(std::uint64_t term);
-    bool take(const Append& message, Appended& answer);
-    void take_whole();
+    bool match(const Append& message, Appended& answer);
+    bool add(const Append& message);
+    void take_whole(double now);
+    Appended answer_to(std::uint64_t term) const;
     void commit(std::uint64_t number);
     void compact();
     void post(const std::string& to, const Message& message) { posts_.push_back({to, body_of(message)}); }
@@ -72,11 +76,12 @@
     ReplicaHome& home_;
     bool remembers_;
     std::uint64_t promised_, committed_;
+    std::uint64_t promised_to_ = 0;   // the nonce of the Prepare, since this process began
     Log log_;
     Staging staging_;
     std::string source_;
     double heard_at_ = -1e18;
-    bool disk_failed_ = false;
+    bool disk_failed_ = false, diverged_ = false;
     std::uint64_t changes_ = 0;
     std::size_t since_compact_ = 0;
     SnapshotTaker taker_;
--- a/src/rollout/source.hpp
+++ b/src/rollout/source.hpp
@@ -62,7 +62,8 @@
         irrevertible,    // number: refused, but it is a revert, or no longer kept
         fenced,          // another source has a higher term; this one stops
         majority_lost,   // fewer than a majority remembered: what they had forgotten may be missing
-        admitted         // name: a replica that had lost its disk counts again
+        admitted,        // name: a replica that had lost its disk counts again
+        diverged         // name: a replica whose committed records differ from what the others have
     } what = What::ready;
     std::uint64_t number = 0;
     std::string name, reason;
@@ -97,7 +98,9 @@
     Report fleet(double now) const;   // of all control machines that told within silence_s
 
   private:
-    struct Peer {   // a replica
+    struct Peer {                    // a replica
+        std::uint64_t lost = 0;      // the process that told of a loss, in any reading of this hold
+        std::uint64_t learner = 0;   // the same, as it was when this reading began
         // of this reading
         std::uint64_t process = 0;
         bool promised = false, remembers = false;
@@ -106,11 +109,9 @@
         std::uint64_t sent = 0, matched = 0;   // numbers
         bool probing = true;                   // what it has is not known yet
         std::uint64_t probe = 0;               // the previous number to try next
-        double again_at = 0;                   // s; to send (again) at the latest
-        double acked_sent_at = -1e18;   // s; of the newest append that was answered, when it was sent
-        double sent_at = -1e18;
-        std::uint64_t learner = 0;   // the process that told of a loss before this reading began
-        std::uint64_t lost = 0;      // the process that told of a loss
+        bool admitting = false, diverged = false;
+        double again_at = 0;       // s; to send (again) at the latest
+        double heard_at = -1e18;   // s; of the last append that it took
     };
     struct Canary {
         std::deque<std::pair<double, std::uint64_t>> in_force;   // since when, number
@@ -130,16 +131,25 @@
     void on(double now, const std::string& from, const Told& message);
     template <class Other>
     void on(double, const std::string&, const Other&) {}
-    bool fenced_by(std::uint64_t promised);
-    bool is_learner(const Peer& peer, std::uint64_t process, bool remembers);
+    void fence();
+    bool fenced_by(double now, std::uint64_t promised);
+    template <class Has>
+    bool enough(Has has) const;
+    void inspect(double now);
+    void retry(double now);
     void choose(double now);
     void fetch(double now);
     void become_ready(double now);
     void replicate(double now, const std::string& name, Peer& peer);
     void replicate_all(double now);
+    void give_snapshot(const std::string& name);
+    void probe(double now, const std::string& from, Peer& peer, const Appended& message);
     bool append(double now, Record record);
     void commit(double now);
     void stage(double now);
+    void choose_canaries(double now, const Report& fleet);
+    double clear_at(double at, std::uint64_t number) const;
+    double heard_by_majority() const;
     void refuse(double now, const Refusal& refusal);
     void readmit(double now);
     std::size_t majority() const { return settings_.replicas.size() / 2 + 1; }
@@ -148,9 +158,10 @@
     const SourceSettings settings_;
     std::mt19937_64 random_;   // of waits only
     Stage stage_ = Stage::off;
-    std::uint64_t fencing_ = 0, round_ = 0, term_ = 0;
+    std::uint64_t fencing_ = 0, round_ = 0, term_ = 0, nonce_ = 0;
+    unsigned tries_ = 0;   // of the reading's step
     Log log_;
-    std::uint64_t committed_ = 0, known_committed_ = 0, first_own_ = 0;
+    std::uint64_t committed_ = 0, known_committed_ = 0;
     Staging staging_;
     std::map<std::string, Peer> peers_;
     std::string best_;   // whose log is adopted
@@ -164,7 +175,6 @@
     std::map<std::string, Canary> canaries_;
     std::deque<std::pair<double, std::uint64_t>> commits_;   // when, number: those not cleared
     std::set<std::uint64_t> refused_;                        // told already
-    std::set<std::uint64_t> pending_;                        // refused, and to be reverted
     std::vector<Post> posts_;
     std::vector<SourceEvent> events_;
 };
