Read [rollout], keep what is in force in files, lay sections over the operator's file

The cores of the rollout have no settings, no home and nothing to be laid over. [rollout] is off unless it names `from` (a follower) or `listen` (a control machine; with both, a relay); each fault is one line, and what is promised comes from bound.hpp. A replica whose files are cut, flipped or gone says that it remembers nothing, also at later starts: that is written before the files are mended.

Operators' calls with a body (POST, DELETE /v1/rollout/KEY) are read.

--- a/src/admin/call.cpp
+++ b/src/admin/call.cpp
@@ -30,17 +30,40 @@
     return true;
 }
 
+namespace {
+
+// /v1/rollout/KEY: the key is a section's header.
+Call read_change(std::string_view method, std::string_view key) {
+    Call call;
+    if (key.empty() || key.find('/') != std::string_view::npos) {
+        call.fault = 404;
+    } else if (method != "POST" && method != "DELETE") {
+        call.fault = 405;
+        call.allow = "POST, DELETE";
+    } else if (key.size() > kIdMost || !decode(key, call.id)) {
+        call.fault = 400;
+    }
+    if (call.fault != 404) call.what = method == "DELETE" ? Call::What::erase : Call::What::propose;
+    return call;
+}
+
+}   // namespace
+
 Call read_call(std::string_view method, std::string_view target) {
     Call call;
     const std::string_view path = target.substr(0, target.find('?'));
-    constexpr std::string_view kBackends = "/v1/backends/";
+    constexpr std::string_view kBackends = "/v1/backends/", kRollout = "/v1/rollout/";
     std::string_view wanted = "POST";
+    if (path.starts_with(kRollout)) return read_change(method, path.substr(kRollout.size()));
     if (path == "/v1/readyz") {
         call.what = Call::What::readyz;
         wanted = "GET";
     } else if (path == "/v1/fleet" || path == "/v1/fleet/quorum") {
         call.what = path == "/v1/fleet" ? Call::What::fleet : Call::What::quorum;
         wanted = "GET";
+    } else if (path == "/v1/rollout") {
+        call.what = Call::What::rollout;
+        wanted = "GET";
     } else if (path == "/v1/ingress/drain") {
         call.what = Call::What::drain;
     } else if (path == "/v1/ingress/activate") {
--- a/src/admin/call.hpp
+++ b/src/admin/call.hpp
@@ -7,9 +7,22 @@
 namespace slatejunction::admin {
 
 struct Call {
-    enum class What { none, readyz, suspend, resume, drain, activate, fleet, quorum };
+    enum class What {
+        none,
+        readyz,
+        suspend,
+        resume,
+        drain,
+        activate,
+        fleet,
+        quorum,
+        rollout,
+        propose,
+        erase
+    };
     What what = What::none;
-    std::string id;            // of a backend, percent-decoded
+    std::string id;            // of a backend, or the key that is proposed or erased; percent-decoded
+    std::string body;          // of what is proposed; filled in by the server
     int fault = 0;             // HTTP status, when it is no call
     std::string_view allow;    // the methods of that path, with 405
     bool head_alone = false;   // HEAD: the answer has no body
--- a/src/admin/server.cpp
+++ b/src/admin/server.cpp
@@ -111,6 +111,7 @@
 void Session::take() {
     call_ = read_call(parser_.head().first, parser_.head().second);
     state_ = State::asking;
+    if (call_.what == Call::What::propose) call_.body = parser_.body();
     if (call_.fault == 404) return answer({404, "no such path"});
     if (call_.fault == 405) return answer({405, "another method is wanted"});
     if (call_.fault != 0) return answer({call_.fault, "the id can't be read"});
--- a/src/ini/ini.cpp
+++ b/src/ini/ini.cpp
@@ -190,12 +190,24 @@
 
 std::vector<std::string> read(const std::string& path, const std::vector<Section*>& sections,
                               const std::vector<Family>& families) {
-    Reading reading{path, sections, families, {}, {}, {}, {}, {}, 0, {}, {}, {}};
+    std::string text;
+    if (!load(path, text)) return {path + ": can't be read"};
+    return read_text(path, text, sections, families);
+}
+
+bool load(const std::string& path, std::string& text) {
     std::ifstream in(path, std::ios::binary);
     std::stringstream bytes;
     bytes << in.rdbuf();
-    if (!in) return {path + ": can't be read"};
-    const std::string text = bytes.str();
+    if (!in) return false;
+    text = bytes.str();
+    return true;
+}
+
+std::vector<std::string> read_text(const std::string& path, const std::string& text,
+                                   const std::vector<Section*>& sections,
+                                   const std::vector<Family>& families) {
+    Reading reading{path, sections, families, {}, {}, {}, {}, {}, 0, {}, {}, {}};
     std::istringstream lines(text);
     std::string line;
     bool key_before = false;   // an indented line is more of the value before it
--- a/src/ini/ini.hpp
+++ b/src/ini/ini.hpp
@@ -64,6 +64,13 @@
 std::vector<std::string> read(const std::string& path, const std::vector<Section*>& sections,
                               const std::vector<Family>& families = {});
 
+// The file's bytes; false: it can't be read.
+bool load(const std::string& path, std::string& text);
+// The same for the file's text; `path` names it in faults.
+std::vector<std::string> read_text(const std::string& path, const std::string& text,
+                                   const std::vector<Section*>& sections,
+                                   const std::vector<Family>& families = {});
+
 // A file with every key, its unit and its default, commented out.
 std::string sample(const std::vector<Section*>& sections, const std::vector<Family>& families = {});
 
--- a/src/operator/options.cpp
+++ b/src/operator/options.cpp
@@ -11,6 +11,18 @@
     return all;
 }
 
+// What [rollout] wants of other sections; empty: it is there.
+std::string fault_of_rollout(const Options& options) {
+    if (options.metrics.directory.empty())
+        return (options.rollout.follows() ? "from" : "listen") +
+               std::string(": wants [state] directory, where what is in force outlives the process");
+    if (options.rollout.key_file.empty() && options.peers.key_file.empty())
+        return "key_file: is wanted, here or in [peers]: what nodes say is authenticated";
+    if (options.rollout.control() && !options.lease.on())
+        return "listen: wants [lease] voters, which are the control machines; or `from`, for a relay";
+    return {};
+}
+
 }   // namespace
 
 std::vector<ini::Section> Options::sections() {
@@ -26,13 +38,21 @@
     all.push_back(lease.announce());
     all.push_back(sums.section());
     all.push_back(fleet_limits.section());
+    all.push_back(rollout.section());
     return all;
 }
 
 std::vector<std::string> load(const std::string& path, Options& options) {
+    std::string text;
+    if (!ini::load(path, text)) return {path + ": can't be read"};
+    return load_text(path, text, options);
+}
+
+std::vector<std::string> load_text(const std::string& path, const std::string& text, Options& options) {
     Options fresh;
     auto sections = fresh.sections();
-    std::vector<std::string> faults = ini::read(path, pointers(sections), fresh.rules.families());
+    std::vector<std::string> faults =
+        ini::read_text(path, text, pointers(sections), fresh.rules.families());
     if (faults.empty() && !fresh.metrics.directory.empty() &&
         fresh.metrics.directory == fresh.remote_write.backlog_directory)
         faults.push_back(path +
@@ -54,6 +74,10 @@
     if (faults.empty() && fresh.lease.on() && fresh.lease.numbers == lease::Options::kept &&
         fresh.metrics.directory.empty())
         faults.push_back(path + ": [lease] numbers: kept wants [state] directory");
+    if (faults.empty() && fresh.rollout.on()) {
+        const std::string fault = fault_of_rollout(fresh);
+        if (!fault.empty()) faults.push_back(path + ": [rollout] " + fault);
+    }
     if (faults.empty()) {
         std::vector<std::string> of_rules;
         rules::Rules::load(fresh.rules, {}, of_rules);
--- a/src/operator/options.hpp
+++ b/src/operator/options.hpp
@@ -12,6 +12,7 @@
 #include "peers/settings.hpp"
 #include "quota/settings.hpp"
 #include "remotewrite/settings.hpp"
+#include "rollout/settings.hpp"
 #include "rules/settings.hpp"
 #include "sums/settings.hpp"
 
@@ -27,6 +28,7 @@
     lease::Options lease;
     sums::Options sums;
     fleetlimit::Options fleet_limits;
+    rollout::Options rollout;
 
     bool limits_fleet() const {
         for (const auto& one : rules.limits)
@@ -39,6 +41,8 @@
 
 // Takes the file, all of it or nothing. Returns all faults, one line each; see ini::read().
 std::vector<std::string> load(const std::string& path, Options& options);
+// The same for the file's text; `path` names it in faults.
+std::vector<std::string> load_text(const std::string& path, const std::string& text, Options& options);
 // The file with every key, its unit and its default.
 std::string sample();
 
--- /dev/null
+++ b/src/rollout/files.cpp
@@ -0,0 +1,199 @@
+#include "rollout/files.hpp"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <utility>
+
+#include "driver.pb.h"
+
+namespace slatejunction::rollout {
+namespace {
+
+constexpr char kLogMagic[] = "sjrolog1", kPromiseMagic[] = "sjropro1";   // and version
+constexpr char kPromiseFile[] = "replica.promise";
+constexpr std::size_t kSegmentBytes = 1 << 30;   // a segment ends with a snapshot, not by its size
+enum Type : std::uint32_t { records = 1, truncated = 2 };
+
+void write(const Record& from, kept::Record& to) {
+    to.set_number(from.number);
+    to.set_term(from.term);
+    to.set_kind(static_cast<std::uint32_t>(from.kind));
+    to.set_key(from.key);
+    to.set_value(from.value);
+    to.set_reverts(from.reverts);
+}
+
+Record read(const kept::Record& from) {
+    return {from.number(), from.term(),  static_cast<Kind>(from.kind()),
+            from.key(),    from.value(), from.reverts()};
+}
+
+// False: a record does not follow the one before it; the log is as it was.
+bool push_all(Log& log, const google::protobuf::RepeatedPtrField<kept::Record>& all) {
+    const std::uint64_t before = log.last().number;
+    for (const kept::Record& one : all)
+        if (!log.push(read(one))) {
+            log.truncate(before);
+            return false;
+        }
+    return true;
+}
+
+// What is written has reached the disk when this returns.
+std::int64_t write_through(int fd, const void* data, std::size_t size) {
+    const ssize_t done = ::write(fd, data, size);
+    if (done >= 0 && ::fdatasync(fd) != 0) return -1;
+    return done;
+}
+
+}   // namespace
+
+// The log's file. -------------------------------------------------------------------------------------
+
+LogFile::LogFile(std::string directory, std::string name, store::Journal::Writer writer)
+    : directory_(std::move(directory)), name_(std::move(name)) {
+    load();
+    store::Journal::Found found;
+    journal_ = std::make_unique<store::Journal>(
+        directory_, name_, kSegmentBytes,
+        [this](std::uint64_t segment, std::uint32_t type, std::string_view payload) {
+            if (segment < first_segment_ || stopped_) return;
+            if (!visit(type, payload)) stopped_ = true;   // what follows has lost what it rests on
+        },
+        found, std::move(writer));
+    set_aside_.insert(set_aside_.end(), found.broken.begin(), found.broken.end());
+    // A snapshot begins with a segment of its own, so segments without it, or it without that, are a part.
+    const bool part = founded_ ? !journal_->segments().contains(first_segment_) : found.records > 0;
+    damaged_ = stopped_ || part || found.cut_bytes > 0 || !set_aside_.empty();
+}
+
+bool LogFile::mend() { return (founded_ && !damaged_) || replace(log_, committed_); }
+
+void LogFile::load() {
+    std::string broken;
+    const auto body = store::take_whole(directory_, name_ + ".log", kLogMagic, broken);
+    if (!broken.empty()) set_aside_.push_back(broken);
+    if (!body) return;
+    kept::Snapshot snapshot;
+    Log log;
+    if (snapshot.ParseFromString(*body)) {
+        State state;
+        for (const kept::Entry& one : snapshot.entry()) state[one.key()] = one.value();
+        log = Log({snapshot.number(), snapshot.chain()}, snapshot.term(), std::move(state));
+        if (push_all(log, snapshot.record())) {
+            log_ = std::move(log);
+            committed_ = snapshot.committed();
+            first_segment_ = snapshot.segment();
+            founded_ = true;
+            return;
+        }
+    }
+    set_aside_.push_back(store::set_aside(directory_ + "/" + name_ + ".log"));
+}
+
+bool LogFile::visit(std::uint32_t type, std::string_view payload) {
+    kept::Records all;
+    if (!all.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) return false;
+    if (type == records) return push_all(log_, all.record());
+    if (type != truncated || all.record_size() != 1) return false;
+    const std::uint64_t number = all.record(0).number();
+    if (!log_.knows(number)) return false;
+    log_.truncate(number);
+    return true;
+}
+
+bool LogFile::ready() {
+    if (journal_->open()) return true;
+    const store::File folder(::open(directory_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+    if (journal_->begin() && folder && ::fsync(folder.get()) == 0) return true;
+    why_ = journal_->why();
+    return false;
+}
+
+bool LogFile::put(std::uint32_t type, const std::string& payload) {
+    if (!ready()) return false;
+    if (journal_->append(type, payload)) return true;
+    why_ = journal_->why();
+    return false;
+}
+
+bool LogFile::append(const std::vector<Record>& fresh) {
+    if (fresh.empty()) return true;
+    kept::Records all;
+    for (const Record& one : fresh) write(one, *all.add_record());
+    return put(records, all.SerializeAsString());
+}
+
+bool LogFile::truncate(std::uint64_t number) {
+    kept::Records all;
+    all.add_record()->set_number(number);
+    return put(truncated, all.SerializeAsString());
+}
+
+// The segment first: whatever is left half done, the old snapshot with all segments says the same as the
+// new one with those from there on.
+bool LogFile::replace(const Log& log, std::uint64_t committed) {
+    if (!journal_->begin()) {
+        why_ = journal_->why();
+        return false;
+    }
+    kept::Snapshot snapshot;
+    snapshot.set_number(log.base().number);
+    snapshot.set_chain(log.base().chain);
+    snapshot.set_term(log.base_term());
+    for (const auto& [key, value] : log.base_state()) {
+        kept::Entry& one = *snapshot.add_entry();
+        one.set_key(key);
+        one.set_value(value);
+    }
+    for (std::uint64_t number = log.base().number + 1; number <= log.last().number; ++number)
+        write(log.record(number), *snapshot.add_record());
+    snapshot.set_committed(committed);
+    snapshot.set_segment(journal_->newest());
+    if (!store::put_whole(directory_, name_ + ".log", kLogMagic, snapshot.SerializeAsString(), why_))
+        return false;
+    founded_ = true;
+    while (journal_->segments().begin()->first < journal_->newest())
+        journal_->drop(journal_->segments().begin()->first);
+    return true;
+}
+
+// Homes. ----------------------------------------------------------------------------------------------
+
+FollowerFiles::FollowerFiles(const std::string& directory, store::Journal::Writer writer)
+    : file_(directory, "follower", std::move(writer)) {
+    file_.mend();   // where that fails, so does what is kept next
+}
+
+bool FollowerFiles::append(const std::vector<Record>& records) { return file_.append(records); }
+
+bool FollowerFiles::replace(const Log& log) { return file_.replace(log, 0); }
+
+ReplicaFiles::ReplicaFiles(const std::string& directory, store::Journal::Writer writer)
+    : directory_(directory), file_(directory, "replica", writer ? std::move(writer) : write_through) {
+    std::string broken;
+    const auto body = store::take_whole(directory_, kPromiseFile, kPromiseMagic, broken);
+    kept::Promise promise;
+    if (body && promise.ParseFromString(*body)) {
+        promised_ = promise.term();
+        remembers_ = promise.remembers() && file_.founded() && !file_.damaged();
+    }
+    // Said before the files are mended, so that a later start does not take them for whole.
+    if (promise.remembers() && !remembers_ && !keep_promise(promised_, false)) return;
+    file_.mend();
+}
+
+ReplicaStored ReplicaFiles::take_stored() {
+    return {remembers_, promised_, file_.committed(), file_.take_log()};
+}
+
+bool ReplicaFiles::keep_promise(std::uint64_t term, bool remembers) {
+    if (remembers && !file_.founded()) return false;
+    kept::Promise promise;
+    promise.set_term(term);
+    promise.set_remembers(remembers);
+    return store::put_whole(directory_, kPromiseFile, kPromiseMagic, promise.SerializeAsString(), why_);
+}
+
+}   // namespace slatejunction::rollout
--- /dev/null
+++ b/src/rollout/files.hpp
@@ -0,0 +1,94 @@
+// The homes of a rollout in files of the state directory: the log as a snapshot (store::put_whole) with a
+// journal of what came after it (store::Journal). What is cut or wrong is set aside, and the log ends at
+// the last record before it.
+//
+// A killed process finds all that it was told to be kept. Where a machine loses power a follower may lose
+// its newest versions, and asks for them again; a replica loses nothing, as its journal is flushed to the
+// disk with each append.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "rollout/home.hpp"
+#include "store/journal.hpp"
+#include "store/store.hpp"
+
+namespace slatejunction::rollout {
+
+// A log under `name` in a directory: NAME.log, and the journal's segments NAME-NUMBER.
+class LogFile {
+  public:
+    // Throws store::Error for a directory or file that can't be read, or of another version. `writer`: as
+    // store::Journal's.
+    LogFile(std::string directory, std::string name, store::Journal::Writer writer = {});
+
+    Log take_log() { return std::move(log_); }   // as it was found, once
+    std::uint64_t committed() const { return committed_; }
+    // Something was cut off, set aside or is gone: the log may lack what was kept once.
+    bool damaged() const { return damaged_; }
+    // There is a snapshot, so that files which are gone are noticed at the next start.
+    bool founded() const { return founded_; }
+    // Once after the start, before anything else is kept: writes anew what was found, so that what is kept
+    // from now on does not lie behind what stops the reading.
+    bool mend();
+    const std::vector<std::string>& set_aside() const { return set_aside_; }   // paths
+
+    // False: nothing of it is found again; why() tells.
+    bool append(const std::vector<Record>& records);   // all or none
+    bool truncate(std::uint64_t number);
+    bool replace(const Log& log, std::uint64_t committed);
+    const std::string& why() const { return why_; }
+
+  private:
+    void load();
+    bool visit(std::uint32_t type, std::string_view payload);
+    bool ready();   // there is a segment to append to
+    bool put(std::uint32_t type, const std::string& payload);
+
+    const std::string directory_, name_;
+    Log log_;
+    std::uint64_t committed_ = 0, first_segment_ = 0;
+    bool damaged_ = false, stopped_ = false, founded_ = false;
+    std::vector<std::string> set_aside_;
+    std::unique_ptr<store::Journal> journal_;
+    std::string why_;
+};
+
+// What a follower has in force.
+class FollowerFiles final : public FollowerHome {
+  public:
+    explicit FollowerFiles(const std::string& directory, store::Journal::Writer writer = {});
+    FollowerStored take_stored() { return {file_.take_log()}; }
+    bool append(const std::vector<Record>& records) override;
+    bool replace(const Log& log) override;
+    const LogFile& file() const { return file_; }
+
+  private:
+    LogFile file_;
+};
+
+// What a replica has promised and taken.
+class ReplicaFiles final : public ReplicaHome {
+  public:
+    explicit ReplicaFiles(const std::string& directory, store::Journal::Writer writer = {});
+    ReplicaStored take_stored();
+    bool keep_promise(std::uint64_t term, bool remembers) override;
+    bool append(const std::vector<Record>& records) override { return file_.append(records); }
+    bool truncate(std::uint64_t number) override { return file_.truncate(number); }
+    bool replace(const Log& log, std::uint64_t committed) override { return file_.replace(log, committed); }
+    void note_committed(std::uint64_t) override {}   // the next snapshot has it
+    const LogFile& file() const { return file_; }
+    const std::string& why() const { return why_.empty() ? file_.why() : why_; }
+
+  private:
+    const std::string directory_;
+    LogFile file_;
+    std::uint64_t promised_ = 0;
+    bool remembers_ = false;
+    std::string why_;
+};
+
+}   // namespace slatejunction::rollout
--- /dev/null
+++ b/src/rollout/settings.cpp
@@ -0,0 +1,165 @@
+#include "rollout/settings.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <set>
+#include <sstream>
+
+#include "net/stream.hpp"
+#include "peers/bound.hpp"
+#include "peers/settings.hpp"
+
+namespace slatejunction::rollout {
+namespace {
+
+constexpr std::size_t kRegionMost = 64;   // bytes
+constexpr std::size_t kParentsMost = 64;
+constexpr double kCanaryMost = 4;               // s; in_force_within_s() stays below kInForceMost
+constexpr std::size_t kRelayRecords = 50'000;   // that a relay keeps for its children
+constexpr std::size_t kRelayBytes = 16'000'000;
+constexpr double kRoundTrip = 0.02;   // s, between control machines, as other bounds state it
+
+constexpr bool canaries_fit() {
+    BoundTimes times;
+    times.canary_s = kCanaryMost;
+    return in_force_within_s(times) < kInForceMost;
+}
+static_assert(canaries_fit());
+
+// Names and regions are shown to people and stand in JSON.
+bool plain(const std::string& text, std::size_t most) {
+    return !text.empty() && text.size() <= most && std::all_of(text.begin(), text.end(), [](char c) {
+        return c > ' ' && c < 127 && c != '"' && c != '\\' && c != '=';
+    });
+}
+
+// Reads NAME=ADDRESS:PORT [REGION] a line; returns what is wrong with it.
+std::string read_parents(const std::string& text, std::vector<ParentAddress>& parents) {
+    std::set<std::string> names;
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);) {
+        std::istringstream words(line);
+        std::string pair, region, rest;
+        if (!(words >> pair)) continue;
+        words >> region;
+        const std::size_t mark = pair.find('=');
+        const std::string name = pair.substr(0, mark);
+        const std::string address = mark == std::string::npos ? "" : pair.substr(mark + 1);
+        if (words >> rest || !plain(name, kNameMost) || !net::parse_address(address))
+            return "'" + line + "' is not NAME=ADDRESS:PORT or NAME=ADDRESS:PORT REGION";
+        if (!region.empty() && !plain(region, kRegionMost))
+            return "'" + region + "' is no region: up to 64 plain characters";
+        if (!names.insert(name).second) return "'" + name + "' stands twice";
+        parents.push_back({{name, region}, address});
+    }
+    if (parents.size() > kParentsMost) return "more than 64 parents";
+    return {};
+}
+
+}   // namespace
+
+ini::Section Options::section() {
+    ini::Section section("rollout",
+                         "Rules that come from control machines, in force on the whole fleet: "
+                         "docs/rollout.md. Off unless `from` or `listen` is named. Wants [state].");
+    section.text("listen", listen, "ADDRESS:PORT for UDP, where children reach this process",
+                 [](const std::string& text) -> std::string {
+                     return net::parse_address(text) ? "" : "'" + text + "' is not ADDRESS:PORT";
+                 });
+    section.lines("from", from,
+                  "NAME=ADDRESS:PORT, or NAME=ADDRESS:PORT REGION, one a line: the control machines or "
+                  "relays that this process asks; without it this is a control machine");
+    section.text("region", region, "where this process stands; parents of the same region are asked first",
+                 [](const std::string& text) -> std::string {
+                     return text.empty() || plain(text, kRegionMost)
+                                ? ""
+                                : "'" + text + "' is no region: up to 64 plain characters";
+                 });
+    section.text("key_file", key_file,
+                 "a file with one key, or two while one is replaced, as [peers] has it; empty: that one");
+    section.integer("canaries", canaries, 1, static_cast<std::int64_t>(kCanariesMost), "processes",
+                    "that take a change before all others do; the same on all control machines");
+    section.real("canary_s", canary_s, 0, kCanaryMost, "s", "that a change is in force there first");
+    section.real("bytes_per_s", bytes_per_s, 10'000, 1e9, "bytes a second",
+                 "of changes and snapshots that this process sends to all its children on their asking");
+    section.whole([this]() -> std::string {
+        std::vector<ParentAddress> parents;
+        if (const std::string why = read_parents(from, parents); !why.empty()) return "from: " + why;
+        if (follows() && parents.empty()) return "from: names no parent";
+        return {};
+    });
+    return section;
+}
+
+std::vector<ParentAddress> parents_of(const Options& options) {
+    std::vector<ParentAddress> parents;
+    read_parents(options.from, parents);
+    return parents;
+}
+
+FollowerSettings follower_of(const Options& options, const std::string& name) {
+    FollowerSettings made;
+    made.name = name;
+    made.region = options.region;
+    for (const ParentAddress& one : parents_of(options)) made.parents.push_back(one.parent);
+    if (options.feeds()) {
+        made.records_kept = kRelayRecords;
+        made.bytes_kept = kRelayBytes;
+    }
+    return made;
+}
+
+FeederSettings feeder_of(const Options& options) {
+    FeederSettings made;
+    made.bytes_per_s = options.bytes_per_s;
+    return made;
+}
+
+SourceSettings source_of(const Options& options, const std::vector<std::string>& replicas) {
+    SourceSettings made;
+    made.replicas = replicas;
+    made.canaries = static_cast<std::size_t>(options.canaries);
+    made.canary_s = options.canary_s;
+    return made;
+}
+
+BoundTimes times_of(const Options& options) {
+    BoundTimes times;
+    times.canary_s = options.canary_s;
+    return times;
+}
+
+std::string load_keys(const Options& options, const std::string& otherwise, std::vector<peers::Key>& keys) {
+    peers::Options file;
+    file.key_file = options.key_file.empty() ? otherwise : options.key_file;
+    return peers::load_keys(file, keys);
+}
+
+double changes_per_s(std::size_t replicas, double interval_s) {
+    const double datagrams = peers::kDatagramsPerInterval / interval_s;
+    return datagrams / (2 * static_cast<double>(std::max<std::size_t>(replicas, 2) - 1));
+}
+
+std::vector<std::string> stated(const Options& options, const lease::Times& times, std::size_t replicas,
+                                double interval_s) {
+    const BoundTimes bound = times_of(options);
+    std::vector<std::string> all;
+    char text[400];
+    std::snprintf(
+        text, sizeof text,
+        "rollout: a change is in force at every ingress that can use it within %.1f s while links "
+        "lose at most %d datagrams in a row; no version without all before it",
+        in_force_within_s(bound), bound.losses);
+    all.emplace_back(text);
+    if (!options.control()) return all;
+    std::snprintf(
+        text, sizeof text,
+        "rollout: within %.1f s where the source dies in between (a majority of the %zu control "
+        "machines up); at most %.0f changes a second at [peers] interval_s = %g",
+        in_force_after_death_s(bound, lease::gap_s(times, kRoundTrip, static_cast<int>(replicas))),
+        replicas, changes_per_s(replicas, interval_s), interval_s);
+    all.emplace_back(text);
+    return all;
+}
+
+}   // namespace slatejunction::rollout
--- /dev/null
+++ b/tests/rollout/settings_test.cpp
@@ -0,0 +1,140 @@
+// The operator's [rollout] section, and sections laid over the operator's file.
+#include "rollout/settings.hpp"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "admin/call.hpp"
+#include "files.hpp"
+#include "operator/options.hpp"
+#include "operator/overlay.hpp"
+
+using slatejunction::operating::Options;
+namespace operating = slatejunction::operating;
+namespace rollout = slatejunction::rollout;
+
+namespace {
+
+using Faults = std::vector<std::string>;
+
+Faults faults_of(const std::string& text, Options& options) {
+    Faults faults = operating::load_text("FILE", text, options);
+    for (std::string& fault : faults)
+        if (fault.starts_with("FILE: ")) fault.erase(0, 6);
+    return faults;
+}
+
+const std::string kState = "[state]\ndirectory = /nowhere\n";
+
+}   // namespace
+
+TEST_CASE("[rollout] is off unless it names from or listen, and each fault is one line", "[rollout]") {
+    Options options;
+    CHECK(faults_of("[rollout]\nregion = r1\ncanaries = 3\n", options).empty());
+    CHECK_FALSE(options.rollout.on());
+    CHECK(faults_of(
+              kState + "[rollout]\nkey_file = k\nregion = r1\nfrom = c0=10.0.0.1:1 r1\n  c1=10.0.0.2:1\n",
+              options)
+              .empty());
+    CHECK(options.rollout.follows());
+    CHECK_FALSE(options.rollout.control());
+    const auto parents = rollout::parents_of(options.rollout);
+    REQUIRE(parents.size() == 2);
+    CHECK(parents[0].parent == rollout::Parent{"c0", "r1"});
+    CHECK(parents[0].address == "10.0.0.1:1");
+    CHECK(parents[1].parent == rollout::Parent{"c1", ""});
+    CHECK(faults_of("[rollout]\nkey_file = k\nfrom = c0=10.0.0.1:1\n", options) ==
+          Faults{"[rollout] from: wants [state] directory, where what is in force outlives the process"});
+    CHECK(faults_of(kState + "[rollout]\nfrom = c0=10.0.0.1:1\n", options) ==
+          Faults{"[rollout] key_file: is wanted, here or in [peers]: what nodes say is authenticated"});
+    CHECK(faults_of(kState + "[rollout]\nkey_file = k\nlisten = 10.0.0.1:1\n", options) ==
+          Faults{"[rollout] listen: wants [lease] voters, which are the control machines; or `from`, for a "
+                 "relay"});
+    CHECK(faults_of("[rollout]\nlisten = here\n", options) ==
+          Faults{"[rollout] listen: 'here' is not ADDRESS:PORT"});
+    CHECK(faults_of("[rollout]\nfrom = c0\n", options) ==
+          Faults{"[rollout] from: 'c0' is not NAME=ADDRESS:PORT or NAME=ADDRESS:PORT REGION"});
+    CHECK(faults_of("[rollout]\nfrom = c0=1.2.3.4:5\n  c0=1.2.3.4:6\n", options) ==
+          Faults{"[rollout] from: 'c0' stands twice"});
+    CHECK(faults_of("[rollout]\ncanaries = 9\n", options) ==
+          Faults{"[rollout] canaries: not from 1 to 8: 9"});
+    CHECK(faults_of("[rollout]\ncanary_s = 5\n", options) ==
+          Faults{"[rollout] canary_s: not from 0 to 4: 5"});
+    CHECK(faults_of("[rollout]\nbytes = 5\n", options) == Faults{"[rollout] bytes: unknown key"});
+    CHECK(faults_of("[rollout]\nregion = a b\n", options) ==
+          Faults{"[rollout] region: 'a b' is no region: up to 64 plain characters"});
+}
+
+TEST_CASE("what is promised follows the section's times", "[rollout]") {
+    rollout::Options options;
+    options.listen = "10.0.0.1:1";
+    const auto lines = rollout::stated(options, {}, 5, 0.1);
+    REQUIRE(lines.size() == 2);
+    CHECK(lines[0].find("within 7.2 s") != std::string::npos);
+    CHECK(lines[1].find("at most 50 changes a second") != std::string::npos);
+    options.canary_s = 4;
+    CHECK(rollout::stated(options, {}, 5, 0.1)[0].find("within 10.2 s") != std::string::npos);
+}
+
+TEST_CASE("a section that is rolled out is judged by itself", "[rollout]") {
+    using operating::fault_of_section;
+    CHECK(fault_of_section("limit a", "key = request.customer\nrate = 5\n") == "");
+    CHECK(fault_of_section("route a", "when = request.method == \"GET\"\n  && true\nsubset = s") == "");
+    CHECK(fault_of_section("limit a", "key = request.customer\nrate = fast\n") ==
+          "[limit a] rate: not a number: 'fast'");
+    CHECK(fault_of_section("limit a", "") == "[limit a]: names no key");
+    CHECK(fault_of_section("limit a b", "rate = 1\nkey = true\n") ==
+          "[limit a b]: a name is of 1 to 40 letters, digits, '_' and '-'");
+    // Nothing else of the file comes this way, in whatever disguise.
+    CHECK(fault_of_section("peers", "listen = 1.2.3.4:5\n") ==
+          "[peers]: only subset, route, limit and tag sections are rolled out");
+    CHECK(fault_of_section("limit a]\n[peers", "x = 1") != "");
+    CHECK(fault_of_section("limit a", "rate = 1\n[peers]\nlisten = 1.2.3.4:5\n") ==
+          "[limit a]: holds another section's header");
+    CHECK(fault_of_section("limit a", "[peers]\nlisten = 1.2.3.4:5\n") ==
+          "[limit a]: holds another section's header");
+    CHECK(fault_of_section("limit a", "rate = 1\n\r[peers]\n") == "[limit a]: a control character");
+    CHECK(fault_of_section("limit a", "rate = 1\n [peers]\nlisten = 1.2.3.4:5\n") != "");
+}
+
+TEST_CASE("sections laid over a file take the place of its own, and go away again", "[rollout]") {
+    const std::string own =
+        "[log]\nformat = json\n[limit a]\nkey = request.customer\nrate = 1\n# of a\n[tag t]\nvalue = "
+        "\"x\"\n";
+    CHECK(operating::lay_over(own, {}) == own);
+    const std::string laid = operating::lay_over(
+        own, {{"limit a", "key = request.customer\nrate = 7"}, {"limit b", "key = true\nrate = 2\n"}});
+    CHECK(laid ==
+          "[log]\nformat = json\n[tag t]\nvalue = \"x\"\n[limit a]\nkey = request.customer\nrate = "
+          "7\n[limit b]\nkey = true\nrate = 2\n");
+    Options options;
+    REQUIRE(faults_of(laid, options).empty());
+    REQUIRE(options.rules.limits.size() == 2);
+    CHECK(options.rules.limits[0].rate == 7);
+    // A file without an end of its last line.
+    CHECK(operating::lay_over("[log]\nformat = json", {{"limit b", "rate = 2"}}) ==
+          "[log]\nformat = json\n[limit b]\nrate = 2\n");
+    // The whole has to fit: a route to a subset that nobody has.
+    REQUIRE(faults_of(operating::lay_over(own, {{"route r", "when = true\nsubset = s"}}), options).size() ==
+            1);
+}
+
+TEST_CASE("operators' calls of a rollout are read", "[rollout]") {
+    using slatejunction::admin::read_call;
+    using What = slatejunction::admin::Call::What;
+    CHECK(read_call("GET", "/v1/rollout").what == What::rollout);
+    CHECK(read_call("HEAD", "/v1/rollout").head_alone);
+    CHECK(read_call("POST", "/v1/rollout").fault == 405);
+    const auto proposed = read_call("POST", "/v1/rollout/limit%20a?x=1");
+    CHECK(proposed.what == What::propose);
+    CHECK(proposed.fault == 0);
+    CHECK(proposed.id == "limit a");
+    CHECK(read_call("DELETE", "/v1/rollout/limit%20a").what == What::erase);
+    CHECK(read_call("GET", "/v1/rollout/limit%20a").fault == 405);
+    CHECK(read_call("GET", "/v1/rollout/limit%20a").allow == "POST, DELETE");
+    CHECK(read_call("POST", "/v1/rollout/").fault == 404);
+    CHECK(read_call("POST", "/v1/rollout/a/b").fault == 404);
+    CHECK(read_call("POST", "/v1/rollout/limit%2").fault == 400);
+    CHECK(read_call("POST", "/v1/rollout/" + std::string(2000, 'a')).fault == 400);
+}
