Carry a rollout over sealed datagrams: an endpoint for parents and children, the driver

Followers know their parents by the operator's file, parents their children by where datagrams come from, so that an ingress needs no membership. What is carried is sealed for one process; one sealed for nobody or for an earlier process is only answered by who is here, and what a parent was to hear last goes out again then. Control machines carry replicas' messages over peers (channel 8).

--- a/src/net/datagrams.cpp
+++ b/src/net/datagrams.cpp
@@ -1,11 +1,22 @@
 #include "net/datagrams.hpp"
 
-#include <sys/socket.h>
-
+#include <cstring>
 #include <memory>
 
 namespace slatejunction::net {
 
+bool Sender::operator==(const Sender& other) const {
+    return size == other.size && std::memcmp(&address, &other.address, size) == 0;
+}
+
+Sender sender_of(GSocketAddress* address) {
+    Sender made;
+    const gssize size = g_socket_address_get_native_size(address);
+    if (size > 0 && g_socket_address_to_native(address, &made.address, sizeof made.address, nullptr))
+        made.size = static_cast<socklen_t>(size);
+    return made;
+}
+
 bool Datagrams::start(GSocketAddress* address, std::string& why) {
     GError* fault = nullptr;
     Ref<GSocket> socket(g_socket_new(g_socket_address_get_family(address), G_SOCKET_TYPE_DATAGRAM,
@@ -38,14 +49,27 @@
     return done == static_cast<gssize>(bytes.size());
 }
 
+bool Datagrams::send(const Sender& to, std::string_view bytes) {
+    if (!socket_ || to.size == 0) return false;
+    const ssize_t done = ::sendto(g_socket_get_fd(socket_.get()), bytes.data(), bytes.size(), MSG_DONTWAIT,
+                                  reinterpret_cast<const sockaddr*>(&to.address), to.size);
+    return done == static_cast<ssize_t>(bytes.size());
+}
+
 // By recv itself: GIO reports "would block" by allocating.
 void Datagrams::read() {
+    Sender sender;
     for (int i = 0; i < kAtOnce && socket_; ++i) {
+        sender.size = sizeof sender.address;
+        auto* const from = reinterpret_cast<sockaddr*>(&sender.address);
+        const int fd = g_socket_get_fd(socket_.get());
         const ssize_t size =
-            ::recv(g_socket_get_fd(socket_.get()), room_, sizeof room_, MSG_DONTWAIT | MSG_TRUNC);
+            taken_from_ ? ::recvfrom(fd, room_, sizeof room_, MSG_DONTWAIT | MSG_TRUNC, from, &sender.size)
+                        : ::recv(fd, room_, sizeof room_, MSG_DONTWAIT | MSG_TRUNC);
         if (size < 0) break;   // also an error that came back for one that was sent
         const std::size_t got = static_cast<std::size_t>(size);
-        taken_({room_, std::min(got, sizeof room_)});
+        const std::string_view bytes(room_, std::min(got, sizeof room_));
+        taken_from_ ? taken_from_(bytes, sender) : taken_(bytes);
     }
 }
 
--- a/src/peers/driver.hpp
+++ b/src/peers/driver.hpp
@@ -25,7 +25,8 @@
     sites = 4,
     notes = 5,
     sums = 6,
-    sentinel = 7
+    sentinel = 7,
+    rollout = 8
 };
 
 class Driver {
--- /dev/null
+++ b/src/rollout/driver.hpp
@@ -0,0 +1,161 @@
+// Carries a process's part of the rollout: a follower's, a relay's, or a control machine's (replica, feeder
+// and, while it holds the lease, source). Moves messages, times and what the home keeps between the cores
+// and sockets; decides nothing.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "log/log.hpp"
+#include "net/timers.hpp"
+#include "rollout/endpoint.hpp"
+#include "rollout/feeder.hpp"
+#include "rollout/files.hpp"
+#include "rollout/follower.hpp"
+#include "rollout/replica.hpp"
+#include "rollout/settings.hpp"
+#include "rollout/source.hpp"
+#include "store/store.hpp"
+
+namespace slatejunction::rollout {
+
+// The folder of a rollout, of this process alone, and what it holds: made before everything else, as what
+// was in force is in force again before the process serves.
+class Home {
+  public:
+    // In the existing folder `directory`. Throws store::Error when it can't be used.
+    Home(const std::string& directory, const Options& options);
+
+    const State& state() const { return state_; }   // of the version that was in force; a follower's
+    const Version& version() const { return version_; }
+    const std::vector<std::string>& set_aside() const;
+
+  private:
+    friend class Driver;
+    const std::string path_;
+    store::Directory lock_;
+    std::unique_ptr<FollowerFiles> follower_;   // one of the two
+    std::unique_ptr<ReplicaFiles> replica_;
+    FollowerStored stored_;
+    State state_;
+    Version version_;
+};
+
+class Driver {
+  public:
+    struct Ways {
+        // Of a follower: whether a state can be used, and one that is in force now.
+        Check check;
+        std::function<void(const State& state, const Changes& changes)> in_force;
+        // Of a control machine: to another one (false: it was not sent); the fencing number while this
+        // process holds the lease, else 0.
+        std::function<bool(const std::string& to, std::string_view body)> say;
+        std::function<std::uint64_t()> number;
+    };
+    // Whoever waits for a change: its number once it is committed, or why not. `number` with `later`: it is
+    // not known yet whether it will be.
+    struct Answer {
+        std::uint64_t number = 0;
+        ProposeError error = ProposeError::none;
+        bool later = false;
+    };
+
+    // `replicas`: the control machines by name, this one too; none where this is none.
+    Driver(const Options& options, const std::string& name, std::vector<std::string> replicas,
+           std::uint64_t process, std::uint64_t seed, const std::vector<peers::Key>& keys,
+           std::unique_ptr<Home> home, Ways ways, net::Timers& timers, Logger& log);
+
+    void start();
+    void stop();
+    void set_keys(const std::vector<peers::Key>& keys) { endpoint_.set_keys(keys); }
+    void hear(const std::string& from, std::string_view body);   // from another control machine
+    void on_conducts(bool on);
+    void recheck();   // what the consumer's check rests on has changed
+    // Answered once, after at most kProposeMost.
+    void propose(const std::string& key, const std::optional<std::string>& value,
+                 std::function<void(const Answer&)> answer);
+
+    const Follower* follower() const { return follower_.get(); }   // null: a control machine
+    const Replica* replica() const { return replica_.get(); }      // null: none
+    const Source* source() const { return source_.get(); }         // the same
+    const Feeder* feeder() const { return feeder_.get(); }         // null: no children
+    const Endpoint& endpoint() const { return endpoint_; }
+    bool conducts() const { return source_ && source_->stage() == Source::Stage::ready; }
+    Report children() const;   // below this process; empty without any
+    Report fleet() const;      // as far as this process knows: all, where it conducts
+    // s from the proposal of the last change that is known to be in force everywhere until that was known;
+    // 0: none yet.
+    double last_everywhere_s() const { return everywhere_s_; }
+    const std::string& disk_why() const;
+    std::uint64_t events_of(SourceEvent::What what) const {
+        return event_counts_[static_cast<std::size_t>(what)];
+    }
+
+    static constexpr double kProposeMost = 4;          // s
+    static constexpr std::size_t kSourceEvents = 16;   // room for all SourceEvent::What
+
+  private:
+    struct Waiting {
+        std::uint64_t number = 0;
+        double until = 0;
+        std::function<void(const Answer&)> answer;
+    };
+    void wake();
+    void pump();
+    bool pump_control();
+    bool pump_follower();
+    void pump_feeder();
+    void route(const Post& post);
+    void deliver(const std::string& from, const Message& message);
+    void heard_child_or_parent(const std::string& from, std::uint64_t process, std::string_view body);
+    bool may_feed(double now) const;
+    void hold();
+    void told(const SourceEvent& event);
+    void tell_committed();
+    void tell_version(const Version& version);
+    void tell_in_force(const char* event, const Version& version, const State& state);
+    void tell_source(double now);
+    void measure_everywhere(double now);
+    void answer_waiting(double now);
+    void tell_disk();
+    double due() const;
+
+    const Options options_;
+    const std::string name_;
+    const Ways ways_;
+    Logger& log_;
+    std::unique_ptr<Home> home_;
+    std::unique_ptr<Follower> follower_;
+    std::unique_ptr<Replica> replica_;
+    std::unique_ptr<Source> source_;
+    std::unique_ptr<Feeder> feeder_;
+    Endpoint endpoint_;
+    net::Timer timer_;
+    bool conducts_ = false;
+    std::uint64_t held_ = 0;                         // the fencing number that the source was told of
+    std::deque<std::pair<std::string, Body>> own_;   // from this process to itself: from whom
+    std::uint64_t replica_changes_ = 0, committed_told_ = 0, urgent_ = 0;
+    std::uint64_t fed_version_ = 0;
+    Staging fed_staging_;
+    double tell_at_ = 1e18, started_ = -1e18;
+    std::deque<Waiting> waiting_;
+    std::deque<std::pair<double, std::uint64_t>> proposed_;   // when, number; not everywhere yet
+    double everywhere_s_ = 0;
+    double version_told_ = -1e18;
+    std::uint64_t versions_ = 0;
+    std::array<std::uint64_t, kSourceEvents> event_counts_{};
+    bool pumping_ = false, stopped_ = false, told_disk_ = false, told_diverged_ = false;
+    std::uint64_t told_refused_ = 0;
+};
+
+// XXH64 over every key and value with its length, hexadecimal: what records say of a state.
+std::string digest(const State& state);
+
+}   // namespace slatejunction::rollout
--- /dev/null
+++ b/src/rollout/endpoint.cpp
@@ -0,0 +1,153 @@
+#include "rollout/endpoint.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "driver.pb.h"
+
+namespace slatejunction::rollout {
+namespace {
+
+constexpr double kBindAgain = 0.1;   // s
+constexpr double kLastMost = 2;      // s; an older message is not worth sending once the process is known
+enum Kind : std::uint32_t { hello = 1, here_is = 2, carried = 3 };
+
+net::Address any_port(GSocketFamily family) {
+    const net::Ref<GInetAddress> any(g_inet_address_new_any(family));
+    return net::Address(g_inet_socket_address_new(any.get(), 0));
+}
+
+bool plain(const std::string& name) {
+    return !name.empty() && name.size() <= kNameMost && std::all_of(name.begin(), name.end(), [](char c) {
+        return c > ' ' && c < 127 && c != '"' && c != '\\';
+    });
+}
+
+}   // namespace
+
+Endpoint::Endpoint(const Settings& settings, std::uint64_t process, const std::vector<peers::Key>& keys,
+                   Heard heard, net::Timers& timers, Logger& log)
+    : settings_(settings),
+      seal_(keys, process),
+      heard_(std::move(heard)),
+      log_(log),
+      socket_(timers, [this](std::string_view bytes, const net::Sender& from) { taken(bytes, from); }),
+      bind_timer_(timers, [this] { bind(); }) {
+    for (const auto& [name, address] : settings_.parents)
+        parents_[name].address = net::parse_address(address);
+}
+
+void Endpoint::start() { bind(); }
+
+void Endpoint::bind() {
+    // Without children any port of the family by which the parents are reached.
+    GSocketFamily family = G_SOCKET_FAMILY_IPV4;
+    for (const auto& [name, parent] : parents_) family = g_socket_address_get_family(parent.address.get());
+    const net::Address address =
+        settings_.listen.empty() ? any_port(family) : net::parse_address(settings_.listen);
+    std::string why;
+    if (socket_.start(address.get(), why)) {
+        if (!settings_.listen.empty())
+            log_.write(Logger::Level::info, net::now(), "rollout: feeds children at %s",
+                       settings_.listen.c_str());
+        return;
+    }
+    if (!std::exchange(told_held_, true))
+        log_.write(Logger::Level::warning, net::now(),
+                   "rollout: %s can't be listened at, it is tried again: %s", settings_.listen.c_str(),
+                   why.c_str());
+    bind_timer_.arm(net::now() + kBindAgain);
+}
+
+void Endpoint::stop() {
+    bind_timer_.disarm();
+    socket_.stop();
+}
+
+std::string Endpoint::datagram(std::uint32_t kind, std::string_view body) const {
+    kept::Datagram made;
+    made.set_kind(kind);
+    made.set_name(settings_.name);
+    made.set_body(body.data(), body.size());
+    return made.SerializeAsString();
+}
+
+void Endpoint::count(bool sent, std::size_t bytes) {
+    if (!sent) {
+        ++tally_.unsent;
+        return;
+    }
+    ++tally_.sent;
+    tally_.sent_bytes += bytes;
+}
+
+void Endpoint::post(Parent& parent, std::uint64_t process, const std::string& payload) {
+    const std::string bytes = seal_.close(process, payload);
+    count(socket_.send(parent.address.get(), bytes), bytes.size());
+}
+
+void Endpoint::send(const std::string& to, const Body& body) {
+    if (const auto at = parents_.find(to); at != parents_.end()) {
+        Parent& parent = at->second;
+        parent.last = body;
+        parent.last_at = net::now();
+        if (parent.process != 0) return post(parent, parent.process, datagram(carried, *body));
+        ++tally_.hellos;
+        return post(parent, 0, datagram(hello, {}));
+    }
+    const auto at = children_.find(to);
+    if (at == children_.end()) return count(false, 0);
+    const std::string bytes = seal_.close(at->second.process, datagram(carried, *body));
+    count(socket_.send(at->second.at, bytes), bytes.size());
+}
+
+void Endpoint::taken(std::string_view bytes, const net::Sender& from) {
+    std::uint64_t process = 0;
+    std::string_view payload;
+    const peers::Opened opened = seal_.open(bytes, process, payload);
+    if (opened == peers::Opened::stranger) {
+        // For nobody or for an earlier process, perhaps old: it only learns who is here.
+        const std::string answer = seal_.close(process, datagram(here_is, {}));
+        return count(socket_.send(from, answer), answer.size());
+    }
+    if (opened != peers::Opened::fresh) return;
+    kept::Datagram said;
+    if (!said.ParseFromArray(payload.data(), static_cast<int>(payload.size())) || !plain(said.name())) {
+        ++tally_.unreadable;
+        return;
+    }
+    if (said.kind() == here_is) return here(process, said.name());
+    if (said.kind() != carried) return;
+    if (!parent(said.name())) remember(said.name(), process, from);
+    heard_(said.name(), process, said.body());
+}
+
+// Tells of a parent's process: what it was to hear last goes out again.
+void Endpoint::here(std::uint64_t process, const std::string& name) {
+    const auto at = parents_.find(name);
+    if (at == parents_.end()) {
+        if (!parents_.empty() && !std::exchange(parents_.begin()->second.told_name, true))
+            log_.write(Logger::Level::warning, net::now(),
+                       "rollout: an address of [rollout] from is answered by %s, which is no name there",
+                       name.c_str());
+        return;
+    }
+    Parent& parent = at->second;
+    if (parent.process == process) return;
+    parent.process = process;
+    if (parent.last && net::now() - parent.last_at <= kLastMost)
+        post(parent, process, datagram(carried, *parent.last));
+}
+
+void Endpoint::remember(const std::string& name, std::uint64_t process, const net::Sender& from) {
+    if (settings_.listen.empty()) return;
+    if (children_.size() >= kChildrenMost && !children_.contains(name)) {
+        const auto oldest = std::min_element(
+            children_.begin(), children_.end(),
+            [](const auto& a, const auto& b) { return a.second.heard_at < b.second.heard_at; });
+        children_.erase(oldest);
+    }
+    children_[name] = {from, process, net::now()};
+}
+
+}   // namespace slatejunction::rollout
--- /dev/null
+++ b/src/rollout/endpoint.hpp
@@ -0,0 +1,89 @@
+// Carries messages between this process and named others over one UDP socket, sealed: parents by their
+// addresses in the operator's file, children by where their datagrams come from. Decides nothing.
+//
+// What is carried is sealed for one process. Whoever does not know the process at the other end says hello,
+// sealed for nobody; such a one, or one for an earlier process, is only ever answered by who is here.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "log/log.hpp"
+#include "net/datagrams.hpp"
+#include "net/stream.hpp"
+#include "net/timers.hpp"
+#include "peers/seal.hpp"
+#include "rollout/message.hpp"
+
+namespace slatejunction::rollout {
+
+using Logger = slatejunction::Log;   // `Log` is that of the changes here
+
+class Endpoint {
+  public:
+    static constexpr std::size_t kChildrenMost = 8'192;   // whose addresses are remembered
+
+    struct Settings {
+        std::string name;
+        std::string listen;                           // ADDRESS:PORT; empty: any port, no children
+        std::map<std::string, std::string> parents;   // addresses by name
+    };
+    struct Tally {
+        std::uint64_t sent = 0, sent_bytes = 0;   // datagrams, with what sealing adds
+        std::uint64_t unsent = 0;                 // the system took them not, or nobody is known there
+        std::uint64_t hellos = 0, unreadable = 0;
+    };
+    // `heard`: from whom, its process, the message's bytes.
+    using Heard = std::function<void(const std::string&, std::uint64_t, std::string_view)>;
+
+    Endpoint(const Settings& settings, std::uint64_t process, const std::vector<peers::Key>& keys,
+             Heard heard, net::Timers& timers, Logger& log);
+    // Binds; while the address is held by another process it is tried again.
+    void start();
+    void stop();
+    void send(const std::string& to, const Body& body);
+    void set_keys(const std::vector<peers::Key>& keys) { seal_.set_keys(keys); }
+
+    bool parent(const std::string& name) const { return parents_.contains(name); }
+    const Tally& tally() const { return tally_; }
+    const peers::Seal& seal() const { return seal_; }
+
+  private:
+    struct Parent {
+        net::Address address;
+        std::uint64_t process = 0;   // 0: not known yet
+        Body last;                   // goes out again once the process is known
+        double last_at = -1e18;
+        bool told_name = false;
+    };
+    struct Child {
+        net::Sender at;
+        std::uint64_t process = 0;
+        double heard_at = 0;
+    };
+    void bind();
+    void taken(std::string_view bytes, const net::Sender& from);
+    void here(std::uint64_t process, const std::string& name);
+    void remember(const std::string& name, std::uint64_t process, const net::Sender& from);
+    std::string datagram(std::uint32_t kind, std::string_view body) const;
+    void post(Parent& parent, std::uint64_t process, const std::string& payload);
+    void count(bool sent, std::size_t bytes);
+
+    const Settings settings_;
+    peers::Seal seal_;
+    const Heard heard_;
+    Logger& log_;
+    std::map<std::string, Parent> parents_;
+    std::map<std::string, Child> children_;
+    net::Datagrams socket_;
+    net::Timer bind_timer_;
+    bool told_held_ = false;
+    Tally tally_;
+};
+
+}   // namespace slatejunction::rollout
--- a/standins/link.cpp
+++ b/standins/link.cpp
@@ -104,8 +104,9 @@
       to_(std::move(to)),
       listen_address_(net::parse_address(listen_)),
       to_address_(net::parse_address(to_)),
+      target_(to_address_ ? net::sender_of(to_address_.get()) : net::Sender{}),
       random_(seed),
-      datagrams_(timers, [this](std::string_view bytes) { taken(bytes); }),
+      datagrams_(timers, [this](std::string_view bytes, const net::Sender& from) { taken(bytes, from); }),
       timer_(timers, [this] { run(); }) {}
 
 Link::~Link() {
@@ -184,18 +185,20 @@
     return free_at - now;
 }
 
-void Link::taken(std::string_view bytes) {
+void Link::taken(std::string_view bytes, const net::Sender& from) {
     ++tally_.datagrams;
-    if (!fault_.there || chance(fault_.loss)) {
+    const bool back = from == target_;
+    if (!back) user_ = from;
+    if (!(back ? fault_.back : fault_.there) || chance(fault_.loss)) {
         ++tally_.lost;
         return;
     }
     const int copies = chance(fault_.duplicate) ? 2 : 1;
     tally_.doubled += copies == 2;
-    for (int i = 0; i < copies; ++i) send(std::string(bytes));
+    for (int i = 0; i < copies; ++i) send(std::string(bytes), back ? user_ : target_);
 }
 
-void Link::send(std::string bytes) {
+void Link::send(std::string bytes, const net::Sender& to) {
     if (!bytes.empty() && chance(fault_.corrupt)) {
         bytes[random_() % bytes.size()] ^= static_cast<char>(1U << (random_() % 8));
         ++tally_.spoilt;
@@ -204,9 +207,8 @@
     if (fault_.jitter_s > 0) wait_s += std::uniform_real_distribution<double>(0, fault_.jitter_s)(random_);
     if (chance(fault_.reorder)) wait_s += kReordered, ++tally_.late;
     ++tally_.passed;
-    if (wait_s <= 0) return void(datagrams_.send(to_address_.get(), bytes));
-    later(net::now() + wait_s,
-          [this, bytes = std::move(bytes)] { datagrams_.send(to_address_.get(), bytes); });
+    if (wait_s <= 0) return void(datagrams_.send(to, bytes));
+    later(net::now() + wait_s, [this, to, bytes = std::move(bytes)] { datagrams_.send(to, bytes); });
 }
 
 void Link::accept(net::Ref<GSocket> socket) {
--- a/standins/link.hpp
+++ b/standins/link.hpp
@@ -1,6 +1,7 @@
 // Links between processes, a relay for each directed pair: TCP connections and UDP datagrams taken at one
 // address are passed on to another, unless a fault says otherwise. One process holds as many pairs as a
-// rig needs; orders name them by a pattern.
+// rig needs; orders name them by a pattern. What the other end answers to the link goes back to whoever was
+// heard last: a link has one user for datagrams.
 //
 //   heal               all is passed on again
 //   cut [there|back]   nothing passes: both ways, or one; connections stay open
@@ -54,8 +55,8 @@
   private:
     struct Half;
     struct Pair;
-    void taken(std::string_view bytes);
-    void send(std::string bytes);
+    void taken(std::string_view bytes, const slatejunction::net::Sender& from);
+    void send(std::string bytes, const slatejunction::net::Sender& to);
     void accept(slatejunction::net::Ref<GSocket> socket);
     void later(double at, std::function<void()> call);
     void run();
@@ -65,6 +66,8 @@
     slatejunction::net::Timers& timers_;
     const std::string name_, listen_, to_;
     slatejunction::net::Address listen_address_, to_address_;
+    const slatejunction::net::Sender target_;
+    slatejunction::net::Sender user_;   // whose datagram came last
     std::mt19937_64 random_;
     slatejunction::net::Datagrams datagrams_;
     std::unique_ptr<slatejunction::net::Listener> listener_;
