Roll out rules in the program: part, operators' calls, command line, measures

What is rolled out is laid over the operator's own file and taken by the path of a reload: the text as a whole is loaded and compiled, then all of it or nothing is in force. At the start the last version is laid over before the ingress serves; one that does not fit any more is told and left out. SIGHUP keeps what was rolled out over the new file.

`slatejunction rollout status|propose|erase`, GET /v1/rollout, POST and DELETE /v1/rollout/KEY (answered once a majority has the change); 16 measures.

--- a/src/app/fleet_command.cpp
+++ b/src/app/fleet_command.cpp
@@ -4,38 +4,12 @@
 
 #include <cstdio>
 
+#include "app/admin_client.hpp"
 #include "app/program.hpp"
-#include "net/stream.hpp"
 
 namespace slatejunction::app {
 namespace {
 
-constexpr unsigned kPatience = 5;   // s
-
-// The status, and the answer's body; 0: there was none.
-int get(const std::string& address, const std::string& path, std::string& body) {
-    const net::Address at = net::parse_address(address);
-    if (!at) return 0;
-    const net::Ref<GSocket> socket(g_socket_new(g_socket_address_get_family(at.get()), G_SOCKET_TYPE_STREAM,
-                                                G_SOCKET_PROTOCOL_TCP, nullptr));
-    if (!socket) return 0;
-    g_socket_set_timeout(socket.get(), kPatience);
-    if (!g_socket_connect(socket.get(), at.get(), nullptr, nullptr)) return 0;
-    const std::string request = "GET " + path + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n";
-    if (g_socket_send(socket.get(), request.data(), request.size(), nullptr, nullptr) !=
-        static_cast<gssize>(request.size()))
-        return 0;
-    std::string all;
-    char bytes[16384];
-    for (gssize size; (size = g_socket_receive(socket.get(), bytes, sizeof bytes, nullptr, nullptr)) > 0;)
-        all.append(bytes, static_cast<std::size_t>(size));
-    const std::size_t head = all.find("\r\n\r\n");
-    int status = 0;
-    if (head == std::string::npos || std::sscanf(all.c_str(), "HTTP/1.1 %d", &status) != 1) return 0;
-    body = all.substr(head + 4);
-    return status;
-}
-
 void print_members(const rapidjson::Document& json) {
     std::printf("%-16s %-10s %-10s %-24s %-8s %9s\n", "MEMBER", "SITE", "STATE", "ADDRESS", "VERSION",
                 "SINCE");
@@ -70,8 +44,8 @@
 
 int run(const FleetCommand& command) {
     std::string body;
-    const int status =
-        get(command.admin, command.what == "quorum" ? "/v1/fleet/quorum" : "/v1/fleet", body);
+    const int status = call_admin(command.admin, "GET",
+                                  command.what == "quorum" ? "/v1/fleet/quorum" : "/v1/fleet", {}, body);
     if (status == 0)
         return fail("no answer from '" + command.admin + "': is it admin_addr of a running ingress?");
     if (command.what == "quorum" && (status == 200 || status == 503)) {
--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <cstdio>
 #include <memory>
+#include <optional>
 #include <stdexcept>
 #include <vector>
 
@@ -14,18 +15,22 @@
 #include "app/fleet_part.hpp"
 #include "app/limits_part.hpp"
 #include "app/quota_part.hpp"
+#include "app/rollout_part.hpp"
 #include "app/rules_part.hpp"
 #include "config/config.hpp"
 #include "ingress/ingress.hpp"
+#include "ini/ini.hpp"
 #include "log/log.hpp"
 #include "operator/options.hpp"
+#include "operator/overlay.hpp"
 #include "quota/settings.hpp"
 #include "telemetry/telemetry.hpp"
 
 namespace slatejunction::app {
 namespace {
 
-constexpr double kLastLines = 0.5;   // s; at the end, for a log reader that is slow
+constexpr char kRolledOut[] = "rolled out";   // in place of a file's name, in faults
+constexpr double kLastLines = 0.5;            // s; at the end, for a log reader that is slow
 
 // Prints every fault of the operator's file; false when there is one.
 bool load_options(const std::string& path, operating::Options& options) {
@@ -68,6 +73,9 @@
                 lines.push_back(line);
         if (options.lease.on())
             for (auto& line : lease::stated(options.lease)) lines.push_back(line);
+        if (std::string why = fault_of_rollout(options, config.name); !why.empty())
+            throw std::runtime_error(files.options + ": [rollout] " + why);
+        for (auto& line : stated_of_rollout(options)) lines.push_back(line);
         if (options.sums.on()) lines.push_back(sums::stated(options.sums, options.lease.times));
         if (!options.quota.on()) return;
         quotas = quota::settings_of(options.quota, config.settings, fault);
@@ -101,7 +109,12 @@
     int run();
 
   private:
+    bool load(operating::Options& options);
     void make(operating::Options& options);
+    void make_rollout(const operating::Options& options, const config::Config& config, lease::Fleet* fleet);
+    std::vector<std::string> read_options(std::string& text, operating::Options& fresh) const;
+    std::string check_rollout(const rollout::State& state);
+    void take_rollout(const rollout::State& state);
     void stop_parts(std::size_t left);
     void reload();
     void take(const operating::Options& fresh);
@@ -116,8 +129,79 @@
     std::unique_ptr<telemetry::Telemetry> telemetry_;   // lives longer than the ingress that tells it
     std::vector<std::unique_ptr<Part>> parts_;          // in the order of their start
     std::unique_ptr<ingress::Ingress> ingress_;
+    // Of a follower: the operator's own file as it was taken last, and what lies over it.
+    std::string text_, left_out_;
+    std::unique_ptr<rollout::Home> home_;   // until the part has it
+    RulesPart* rules_ = nullptr;            // null: no operator's file
+    RolloutPart* rollout_ = nullptr;        // null: off
+    operating::Options prepared_;           // with what is rolled out, checked last
+    std::optional<rollout::State> prepared_state_;
 };
 
+// The operator's own file, with what was in force before the start; false when it has a fault, which is
+// printed. What was in force and can't be used any more is left out.
+bool Program::load(operating::Options& options) {
+    if (files_.options.empty()) return true;
+    if (!load_options(files_.options, options)) return false;
+    if (!options.rollout.on()) return true;
+    if (!ini::load(files_.options, text_)) return false;
+    home_ = std::make_unique<rollout::Home>(options.metrics.directory, options.rollout);
+    if (home_->version().number == 0) return true;
+    operating::Options rolled;
+    const auto faults =
+        operating::load_text(kRolledOut, operating::lay_over(text_, home_->state()), rolled);
+    if (faults.empty())
+        options = rolled;
+    else
+        left_out_ = faults.front();
+    return true;
+}
+
+void Program::make_rollout(const operating::Options& options, const config::Config& config,
+                           lease::Fleet* fleet) {
+    if (!left_out_.empty())
+        log_->write(
+            Log::Level::error, net::now(),
+            "rollout: version %llu can't be used with this file or program, the file serves without "
+            "it: %s",
+            static_cast<unsigned long long>(home_->version().number), left_out_.c_str());
+    RolloutPart::Ways ways;
+    ways.check = [this](const rollout::State& state) { return check_rollout(state); };
+    ways.take = [this](const rollout::State& state) { take_rollout(state); };
+    ways.left_out = left_out_;
+    auto part = std::make_unique<RolloutPart>(options, config, std::move(home_), std::move(ways), *ingress_,
+                                              fleet, telemetry_.get(), timers_, *log_);
+    rollout_ = part.get();
+    parts_.push_back(std::move(part));
+}
+
+// As a reload, but for what is rolled out alone: nothing else of this machine (its key files) may make it
+// refuse what all get.
+std::string Program::check_rollout(const rollout::State& state) {
+    prepared_state_.reset();
+    const auto faults = operating::load_text(kRolledOut, operating::lay_over(text_, state), prepared_);
+    if (!faults.empty()) return faults.front();
+    try {
+        rules_->prepare(prepared_);
+    } catch (const std::exception& bad) {
+        return bad.what();
+    }
+    prepared_state_ = state;
+    return {};
+}
+
+void Program::take_rollout(const rollout::State& state) {
+    if (prepared_state_ != state)
+        if (const std::string why = check_rollout(state); !why.empty()) {
+            log_->write(Log::Level::error, net::now(), "rollout: what is in force can't be used: %s",
+                        why.c_str());
+            return;
+        }
+    rules_->take(prepared_);
+    if (telemetry_) telemetry_->set_rules(prepared_.rules);
+    prepared_state_.reset();
+}
+
 // Nothing is made, counted or looked at where the operator's file names nothing of it.
 void Program::make(operating::Options& options) {
     auto config = config::load(files_.config, clock_);
@@ -134,7 +218,7 @@
     if (!files_.options.empty()) {   // rules may come with a reload
         auto part =
             std::make_unique<RulesPart>(options, config, *ingress_, telemetry_.get(), timers_, *log_);
-        rules = part.get();
+        rules = rules_ = part.get();
         parts_.push_back(std::move(part));
     }
     lease::Fleet* fleet = nullptr;
@@ -152,6 +236,7 @@
             parts_.push_back(std::move(limits));
         }
     }
+    if (options.rollout.on()) make_rollout(options, config, fleet);
     if (options.quota.on())
         parts_.push_back(std::make_unique<QuotaPart>(options, promised.quotas, config, *ingress_, fleet,
                                                      telemetry_.get(), timers_, *log_));
@@ -169,8 +254,9 @@
     const double now = net::now();
     operating::Options fresh;
     bool good = true;
+    std::string text;
     if (!files_.options.empty())
-        for (const std::string& fault : operating::load(files_.options, fresh)) {
+        for (const std::string& fault : read_options(text, fresh)) {
             log_->write(Log::Level::error, now, "reload refused, nothing changes: %s", fault.c_str());
             good = false;
         }
@@ -180,11 +266,23 @@
         for (const auto& part : parts_) part->prepare(fresh, config);
         if (!files_.options.empty()) take(fresh);
         ingress_->reload(config);
+        if (rollout_) {
+            text_ = text;
+            prepared_state_.reset();
+            rollout_->reloaded();
+        }
     } catch (const std::exception& bad) {
         log_->write(Log::Level::error, now, "reload refused, nothing changes: %s", bad.what());
     }
 }
 
+// With what is rolled out laid over it; faults.
+std::vector<std::string> Program::read_options(std::string& text, operating::Options& fresh) const {
+    if (!rollout_) return operating::load(files_.options, fresh);
+    if (!ini::load(files_.options, text)) return {files_.options + ": can't be read"};
+    return operating::load_text(files_.options, operating::lay_over(text, rollout_->state()), fresh);
+}
+
 void Program::take(const operating::Options& fresh) {
     if (!telemetry_) {
         log_->configure(fresh.log);
@@ -203,6 +301,7 @@
     };
     if (fresh.quota.on() && !there("quota")) waits("quota");
     if (fresh.peers.on() && !there("peers")) waits("peers");
+    if (fresh.rollout.on() && !there("rollout")) waits("rollout");
     if (fresh.limits_fleet() && !there("limits"))
         waits("limits with scope = fleet, kept at each gateway till then");
     if (!later.empty())
@@ -220,7 +319,7 @@
 
 int Program::run() {
     operating::Options options;
-    if (!load_options(files_.options, options)) return kBadUse;
+    if (!load(options)) return kBadUse;
     log_ = std::make_unique<Log>(options.log);
     make(options);
     const store::File signals(signalfd(-1, &signals_, SFD_CLOEXEC | SFD_NONBLOCK));
--- /dev/null
+++ b/src/app/rollout_part.cpp
@@ -0,0 +1,325 @@
+#include "app/rollout_part.hpp"
+
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+#include "app/draw.hpp"
+#include "operator/overlay.hpp"
+
+namespace slatejunction::app {
+namespace {
+
+using Json = rapidjson::Writer<rapidjson::StringBuffer>;
+using rollout::ProposeError;
+using rollout::SourceEvent;
+
+std::vector<peers::Key> keys_of(const operating::Options& options) {
+    std::vector<peers::Key> keys;
+    const std::string why = rollout::load_keys(options.rollout, options.peers.key_file, keys);
+    if (!why.empty()) throw std::runtime_error("[rollout] " + why);
+    return keys;
+}
+
+// The control machines: the voters of the lease.
+std::vector<std::string> replicas_of(const operating::Options& options, const std::string& name) {
+    if (!options.rollout.control()) return {};
+    return lease::settings_of(options.lease, name).voters.names;
+}
+
+void text(Json& json, const char* key, const std::string& value) {
+    json.Key(key);
+    json.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
+}
+void number(Json& json, const char* key, std::uint64_t value) {
+    json.Key(key);
+    json.Uint64(value);
+}
+void standings(Json& json, const char* key, const std::vector<rollout::Standing>& all) {
+    json.Key(key);
+    json.StartArray();
+    for (const rollout::Standing& one : all) {
+        json.StartObject();
+        text(json, "name", one.name);
+        number(json, "in_force", one.in_force);
+        text(json, "trouble", rollout::kTroubles[static_cast<std::size_t>(one.trouble)]);
+        json.EndObject();
+    }
+    json.EndArray();
+}
+void report(Json& json, const char* key, const rollout::Report& all) {
+    json.Key(key);
+    json.StartObject();
+    number(json, "counted", all.counted);
+    number(json, "everywhere", rollout::everywhere(all));
+    number(json, "behind", all.behind);
+    number(json, "silent", all.silent);
+    number(json, "refuse", all.refused);
+    standings(json, "behind_names", all.behind_names);
+    standings(json, "silent_names", all.silent_names);
+    json.Key("refusals");
+    json.StartArray();
+    for (const rollout::Refusal& one : all.refusals) {
+        json.StartObject();
+        number(json, "number", one.number);
+        text(json, "name", one.name);
+        text(json, "reason", one.reason);
+        json.EndObject();
+    }
+    json.EndArray();
+    json.EndObject();
+}
+
+const char* stage_of(const rollout::Source& source) {
+    using Stage = rollout::Source::Stage;
+    switch (source.stage()) {
+        case Stage::off:
+            return "off";
+        case Stage::ready:
+            return "ready";
+        case Stage::fenced:
+            return "fenced";
+        default:
+            return "reads";
+    }
+}
+
+}   // namespace
+
+std::string fault_of_rollout(const operating::Options& options, const std::string& name) {
+    if (!options.rollout.on()) return {};
+    std::vector<peers::Key> keys;
+    if (std::string why = rollout::load_keys(options.rollout, options.peers.key_file, keys); !why.empty())
+        return why;
+    if (!options.rollout.control()) return {};
+    const auto all = replicas_of(options, name);
+    if (std::find(all.begin(), all.end(), name) == all.end())
+        return "listen: " + name + " is not among [lease] voters, which are the control machines";
+    return {};
+}
+
+std::vector<std::string> stated_of_rollout(const operating::Options& options) {
+    if (!options.rollout.on()) return {};
+    return rollout::stated(options.rollout, options.lease.times, replicas_of(options, "").size(),
+                           options.peers.interval_s);
+}
+
+RolloutPart::RolloutPart(const operating::Options& options, const config::Config& config,
+                         std::unique_ptr<rollout::Home> home, Ways ways, ingress::Ingress& ingress,
+                         lease::Fleet* fleet, telemetry::Telemetry* telemetry, net::Timers& timers,
+                         Log& log)
+    : options_(options.rollout),
+      name_(config.name),
+      replicas_(replicas_of(options, config.name)),
+      fleet_(fleet),
+      left_out_(ways.left_out),
+      driver_(options.rollout, config.name, replicas_, draw_process(), config.seed, keys_of(options),
+              std::move(home),
+              {[this, check = ways.check](const rollout::State& state, const rollout::Changes&) {
+                   return check(state);
+               },
+               [this, take = ways.take](const rollout::State& state, const rollout::Changes&) {
+                   left_out_.clear();
+                   take(state);
+               },
+               [this](const std::string& to, std::string_view body) {
+                   return fleet_ && fleet_->send(to, peers::Channel::rollout, body);
+               },
+               [this]() -> std::uint64_t {
+                   lease::Permit permit;
+                   return fleet_ && fleet_->may_conduct(permit) ? permit.number : 0;
+               }},
+              timers, log) {
+    ingress.join(static_cast<ingress::CallTaker&>(*this));
+    if (telemetry) telemetry->join([this](metrics::Measures& measures) { count(measures); });
+    for (const std::string& line : stated_of_rollout(options))
+        log.write(Log::Level::info, net::now(), "%s", line.c_str());
+    if (!fleet_ || !options_.control()) return;
+    fleet_->listen(peers::Channel::rollout,
+                   [this](const peers::Heard& heard) { driver_.hear(heard.from, heard.body); });
+    fleet_->on_conducts([this](bool on) { driver_.on_conducts(on); });
+}
+
+void RolloutPart::stop(std::function<void()> done) {
+    driver_.stop();
+    done();
+}
+
+void RolloutPart::prepare(const operating::Options& fresh, config::Config&) {
+    prepared_keys_ = fresh.rollout.on() ? keys_of(fresh) : std::vector<peers::Key>{};
+}
+
+// Keys are taken at once; the rest waits.
+std::string RolloutPart::take(const operating::Options& fresh) {
+    if (!prepared_keys_.empty()) driver_.set_keys(prepared_keys_);
+    prepared_keys_.clear();
+    auto as_here = fresh.rollout;
+    as_here.key_file = options_.key_file;
+    const bool later = as_here != options_ || (fresh.lease.on() && replicas_of(fresh, name_) != replicas_);
+    return later ? "rollout" : "";
+}
+
+const rollout::State& RolloutPart::state() const {
+    static const rollout::State kNothing;
+    return driver_.follower() ? driver_.follower()->state() : kNothing;
+}
+
+void RolloutPart::reloaded() {
+    left_out_.clear();
+    driver_.recheck();
+}
+
+// Operators. ------------------------------------------------------------------------------------------
+
+bool RolloutPart::on_call(const admin::Call& call, std::function<void(admin::Reply)>& reply) {
+    using What = admin::Call::What;
+    if (call.what == What::rollout) {
+        reply({200, describe()});
+        return true;
+    }
+    if (call.what != What::propose && call.what != What::erase) return false;
+    propose(call, reply);
+    return true;
+}
+
+void RolloutPart::propose(const admin::Call& call, std::function<void(admin::Reply)> reply) {
+    const bool erases = call.what == admin::Call::What::erase;
+    if (call.id.size() > rollout::kKeyMost || call.body.size() > rollout::kValueMost)
+        return reply({413, "a section's header is of 80 bytes at most, its lines of 700 together"});
+    if (!erases)
+        if (const std::string fault = operating::fault_of_section(call.id, call.body); !fault.empty())
+            return reply({400, fault});
+    const auto value = erases ? std::nullopt : std::optional(call.body);
+    driver_.propose(call.id, value,
+                    [this, reply = std::move(reply)](const rollout::Driver::Answer& answer) {
+                        reply(reply_to(answer));
+                    });
+}
+
+admin::Reply RolloutPart::reply_to(const rollout::Driver::Answer& answer) const {
+    const std::string number = std::to_string(answer.number);
+    switch (answer.error) {
+        case ProposeError::none:
+            break;
+        case ProposeError::not_source: {
+            const std::string other = source();
+            return {409, other.empty() || other == name_ ? "not the source, and nobody is known to be it"
+                                                         : "not the source: ask " + other};
+        }
+        case ProposeError::not_ready:
+            return {503, "the source is reading what the control machines have; ask again"};
+        case ProposeError::too_large:
+            return {413, "too large"};
+        case ProposeError::backlog_full:
+            return {503, "too many changes wait for a majority of the control machines"};
+    }
+    if (answer.later)
+        return {202, "number " + number + " is not committed yet, and may be lost: look at the status"};
+    return {200, "number " + number + " is committed"};
+}
+
+std::string RolloutPart::source() const {
+    if (driver_.conducts()) return name_;
+    if (driver_.replica()) return driver_.replica()->source();
+    return {};
+}
+
+std::string RolloutPart::describe() const {
+    rapidjson::StringBuffer out;
+    Json json(out);
+    const rollout::Follower* const follower = driver_.follower();
+    const rollout::Replica* const replica = driver_.replica();
+    json.StartObject();
+    text(json, "name", name_);
+    text(json, "role", !follower ? "control" : driver_.feeder() ? "relay" : "follower");
+    if (follower) {
+        number(json, "in_force", follower->in_force().number);
+        number(json, "cleared", follower->staging().cleared);
+        number(json, "term", follower->staging().term);
+        text(json, "parent", follower->parent());
+        const double heard = net::now() - follower->heard_at();
+        json.Key("unheard_s");
+        heard < 1e9 ? json.Double(heard) : json.Null();
+        text(json, "trouble", rollout::kTroubles[static_cast<std::size_t>(follower->trouble())]);
+        number(json, "refused", follower->refused());
+        text(json, "reason", follower->refused() != 0 ? follower->reason() : "");
+        text(json, "left_out", left_out_);
+        number(json, "records_taken", follower->tally().records);
+        number(json, "snapshots_taken", follower->tally().snapshots);
+    } else {
+        number(json, "last", replica->log().last().number);
+        number(json, "committed", replica->committed());
+        number(json, "cleared", replica->staging().cleared);
+        number(json, "term", replica->promised());
+        text(json, "source", source());
+        text(json, "here", stage_of(*driver_.source()));
+        json.Key("remembers");
+        json.Bool(replica->remembers());
+        json.Key("disk_failed");
+        json.Bool(replica->disk_failed());
+    }
+    if (driver_.feeder()) report(json, "children", driver_.children());
+    if (driver_.conducts()) {
+        report(json, "fleet", driver_.fleet());
+        json.Key("last_everywhere_s");
+        json.Double(driver_.last_everywhere_s());
+    }
+    json.Key("keys");
+    json.StartArray();
+    const rollout::State held =
+        follower ? follower->state() : replica->log().state_at(replica->committed());
+    for (const auto& [key, value] : held) json.String(key.data(), static_cast<unsigned>(key.size()));
+    json.EndArray();
+    json.EndObject();
+    return {out.GetString(), out.GetSize()};
+}
+
+// Measures. -------------------------------------------------------------------------------------------
+
+void RolloutPart::count(metrics::Measures& m) {
+    using metrics::Id;
+    const auto set = [&](Id id, double value, std::size_t label = 0) { m.set(id, value, label); };
+    const auto moved = [&](Id id, std::uint64_t now, std::size_t label = 0) {
+        std::uint64_t& seen = counted_[{id, label}];
+        if (now > seen) m.add(id, label, static_cast<double>(now - std::exchange(seen, now)));
+    };
+    const auto of = [](std::uint64_t value) { return static_cast<double>(value); };
+    const rollout::Follower* const follower = driver_.follower();
+    const rollout::Replica* const replica = driver_.replica();
+    std::uint64_t disk_failures = 0, snapshots = 0, refusals = 0;
+    if (follower) {
+        set(Id::rollout_in_force, of(follower->in_force().number));
+        set(Id::rollout_cleared, of(follower->staging().cleared));
+        const double now = net::now(), heard = std::max(follower->heard_at(), started_);
+        set(Id::rollout_unheard, now - heard);
+        const auto trouble = static_cast<std::size_t>(follower->trouble());
+        for (std::size_t i = 0; i < metrics::kTroubles.size(); ++i)
+            set(Id::rollout_trouble, trouble == i + 1 || (i == 2 && !left_out_.empty()) ? 1 : 0, i);
+        refusals = follower->tally().refusals;
+        disk_failures = follower->tally().disk_failures;
+        snapshots = follower->tally().snapshots;
+    } else {
+        set(Id::rollout_committed, of(replica->committed()));
+        set(Id::rollout_cleared, of(replica->staging().cleared));
+        set(Id::rollout_trouble, replica->disk_failed() ? 1 : 0, 0);
+        refusals = driver_.events_of(SourceEvent::What::refused);
+    }
+    moved(Id::rollout_refusals, refusals);
+    moved(Id::rollout_disk_failures, disk_failures);
+    moved(Id::rollout_snapshots_taken, snapshots);
+    moved(Id::rollout_sent, driver_.endpoint().tally().sent);
+    moved(Id::rollout_sent_bytes, driver_.endpoint().tally().sent_bytes);
+    if (!driver_.feeder()) return;
+    moved(Id::rollout_snapshots_cut, driver_.feeder()->tally().snapshots);
+    const rollout::Report all = driver_.fleet();
+    set(Id::rollout_counted, of(all.counted));
+    set(Id::rollout_everywhere, of(rollout::everywhere(all)));
+    set(Id::rollout_behind, of(all.behind));
+    set(Id::rollout_silent, of(all.silent));
+    set(Id::rollout_everywhere_s, driver_.conducts() ? driver_.last_everywhere_s() : 0);
+}
+
+}   // namespace slatejunction::app
--- a/src/app/rules_part.cpp
+++ b/src/app/rules_part.cpp
@@ -50,7 +50,7 @@
     return made;
 }
 
-void RulesPart::prepare(const operating::Options& fresh, config::Config&) {
+void RulesPart::prepare(const operating::Options& fresh) {
     prepared_ = fresh.rules.any() ? compile(fresh) : nullptr;
 }
 
--- a/src/app/rules_part.hpp
+++ b/src/app/rules_part.hpp
@@ -27,7 +27,8 @@
     const char* name() const override { return "rules"; }
     void start() override;
     void stop(std::function<void()> done) override;
-    void prepare(const operating::Options& fresh, config::Config& config) override;
+    void prepare(const operating::Options& fresh, config::Config&) override { prepare(fresh); }
+    void prepare(const operating::Options& fresh);   // throws as the other
     std::string take(const operating::Options& fresh) override;
 
   private:
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,6 +7,7 @@
 
 #include "app/fleet_command.hpp"
 #include "app/program.hpp"
+#include "app/rollout_command.hpp"
 #include "metrics/measures.hpp"
 #include "operator/options.hpp"
 #include "rules/command.hpp"
@@ -61,6 +62,30 @@
                      "members, leases or quorum (exit status 1: none); else the first two")
         ->check(CLI::IsMember({"members", "leases", "quorum"}));
     fleeting->add_flag("--json", fleet.json, "as the ingress tells it");
+    sj::app::RolloutCommand rollout;
+    auto* rolling = app.add_subcommand("rollout", "rules that come from control machines");
+    rolling->require_subcommand(1);
+    for (const auto& [name, help] : {std::pair<const char*, const char*>{"status", "how far it is"},
+                                     {"propose", "a section for the whole fleet; asked of the source"},
+                                     {"erase", "takes such a section away again"}}) {
+        auto* one = rolling->add_subcommand(name, help);
+        one->add_option("--admin", rollout.admin, "operators' address; else NODE_ADMIN_ADDR")
+            ->envname("NODE_ADMIN_ADDR")
+            ->required();
+        if (std::string(name) == "status") one->add_flag("--json", rollout.json, "as it is told");
+        if (std::string(name) != "status")
+            one->add_option("section", rollout.key, "its header without brackets, as in \"limit NAME\"")
+                ->required();
+        if (std::string(name) == "propose") {
+            auto* text = one->add_option("-e", rollout.text, "its lines");
+            auto* file = one->add_option("-f,--file", rollout.file, "a file that holds them; - : stdin")
+                             ->excludes(text);
+            one->final_callback([text, file] {
+                if (text->count() + file->count() != 1) throw CLI::RequiredError("-e or -f");
+            });
+        }
+        one->callback([&rollout, name = name] { rollout.what = name; });
+    }
     auto* expression = app.add_subcommand("expr", "check, run, explain or time an expression of rules");
     expression->require_subcommand(1);
     sj::rules::ExprCommand expr;
@@ -101,6 +126,7 @@
         if (*sample) return std::fputs(sj::operating::sample().c_str(), stdout) < 0;
         if (*counting) return counters(directory);
         if (*fleeting) return sj::app::run(fleet);
+        if (*rolling) return sj::app::run(rollout);
         if (*expression) return sj::rules::run(expr);
         return *checking ? sj::app::check(files) : sj::app::serve(files);
     } catch (const std::exception& fault) {
--- a/src/metrics/measures.cpp
+++ b/src/metrics/measures.cpp
@@ -78,6 +78,8 @@
             return {{"what", all(kChanges)}};
         case Id::lease_acts:
             return {{"result", all(kActs)}};
+        case Id::rollout_trouble:
+            return {{"trouble", all(kTroubles)}};
         case Id::connections:
         case Id::bytes_held:
         case Id::bytes_budget:
--- a/src/metrics/measures.hpp
+++ b/src/metrics/measures.hpp
@@ -39,6 +39,7 @@
                                                           "held_back"};
 inline constexpr std::array<std::string_view, 2> kChanges{"gained", "lost"};
 inline constexpr std::array<std::string_view, 3> kActs{"taken", "turned_down", "failed"};
+inline constexpr std::array<std::string_view, 3> kTroubles{"disk", "diverged", "refused"};
 inline constexpr std::array<std::string_view, 4> kDropped{"thinned", "backlog_full", "rejected", "stopped"};
 inline constexpr std::array<std::string_view, 6> kBatches{"taken",  "put_off",   "rejected",
                                                           "broken", "timed_out", "fallen_back"};
--- a/src/telemetry/telemetry.hpp
+++ b/src/telemetry/telemetry.hpp
@@ -31,6 +31,8 @@
     void join(std::function<void(metrics::Measures&)> counts) { counts_.push_back(std::move(counts)); }
     // Takes new options. What waits for the next start is named in the log.
     void reload(const operating::Options& options);
+    // Rules that are in force from now on, whose tags are counted.
+    void set_rules(const rules::Settings& rules) { options_.rules = rules; }
     // The last samples: calls `done` once they have been taken, at most kStopMost later.
     void stop(std::function<void()> done);
 
