--- a/src/rollout/replica.cpp
+++ b/src/rollout/replica.cpp
@@ -81,18 +81,23 @@
 }
 
 Appended Replica::answer_to(std::uint64_t term) const {
-    return {term, promised_, process_, remembers_, false, log_.last(), committed_, disk_failed_};
+    return {term, promised_, process_, remembers_, false, log_.last(), committed_, false};
 }
 
 void Replica::on(double now, const std::string& from, const Append& message) {
     if (message.term < promised_) return post(from, answer_to(message.term));
-    if (!promise(message.term)) return post(from, answer_to(message.term));
+    Appended answer = answer_to(message.term);
+    if (!promise(message.term)) {
+        answer.disk_failed = true;
+        return post(from, answer);
+    }
+    disk_failed_ = false;
     source_ = from;
     heard_at_ = now;
     const Staging before = staging_;
     staging_.merge(message.staging);
     if (staging_ != before) ++changes_;
-    Appended answer = answer_to(message.term);
+    answer = answer_to(message.term);
     if (match(message, answer) && add(message)) {
         answer = answer_to(message.term);
         const std::uint64_t matched = message.previous.number + message.records.size();
@@ -180,21 +185,15 @@
 }
 
 void Replica::on(double now, const std::string& from, const SnapshotPart& message) {
-    // What a source gives is committed; an append tells it the rest.
-    if (log_.holds(message.version)) {
-        Appended answer = answer_to(promised_);
-        answer.matches = true;
-        answer.last = message.version;
-        return post(from, answer);
-    }
-    if (message.version.number <= committed_) return;
+    // What a source gives is committed; the append that comes with it tells whether it is here.
+    if (message.version.number <= committed_ || log_.holds(message.version)) return;
     taking_from_ = from;
     taker_.receive(now, message);
     if (const auto ask = taker_.ask(now)) post(from, *ask);
-    take_whole(now);
+    take_whole();
 }
 
-void Replica::take_whole(double) {
+void Replica::take_whole() {
     const auto whole = taker_.take();
     if (!whole || whole->version.number <= committed_ || log_.holds(whole->version)) return;
     const Log log(whole->version, whole->term, whole->state);
@@ -204,9 +203,6 @@
     since_compact_ = 0;
     committed_ = whole->version.number;
     ++changes_;
-    Appended answer = answer_to(promised_);
-    answer.matches = true;
-    post(taking_from_, answer);
 }
 
 }   // namespace slatejunction::rollout
--- a/src/rollout/replica.hpp
+++ b/src/rollout/replica.hpp
@@ -65,7 +65,7 @@
     bool promise(std::uint64_t term);
     bool match(const Append& message, Appended& answer);
     bool add(const Append& message);
-    void take_whole(double now);
+    void take_whole();
     Appended answer_to(std::uint64_t term) const;
     void commit(std::uint64_t number);
     void compact();
--- a/src/rollout/source.cpp
+++ b/src/rollout/source.cpp
@@ -53,6 +53,7 @@
     ++round_;
     term_ = term_of(fencing_, round_);
     stage_ = Stage::preparing;
+    stage_at_ = 1e18;   // staging goes on when this one is ready again
     taker_.drop();
     tries_ = 0;
     for (auto& [name, peer] : peers_) {
@@ -236,7 +237,14 @@
 }
 
 void Source::replicate(double now, const std::string& name, Peer& peer) {
-    peer.again_at = now + (peer.matched < log_.last().number ? settings_.retry_s : settings_.heartbeat_s);
+    if (now < peer.full_until) {
+        peer.again_at = peer.full_until;
+        return;
+    }
+    // What waits for an answer is sent again in its time, however much comes after it.
+    const bool lacks = peer.matched < log_.last().number;
+    const double again = now + (lacks ? settings_.retry_s : settings_.heartbeat_s);
+    peer.again_at = lacks && peer.again_at > now ? std::min(peer.again_at, again) : again;
     if (peer.diverged) return;
     const std::uint64_t last = log_.last().number;
     if (peer.probing && peer.probe < log_.base().number) return give_snapshot(name);
@@ -267,6 +275,8 @@
                        committed_ > log_.base().number ? log_.record(committed_).term : log_.base_term(),
                        log_.state_at(committed_));
     post(name, given_->part(0, staging_));
+    // Is answered as one that matches once the snapshot is taken.
+    post(name, Append{term_, given_->version(), {}, committed_, staging_, false});
 }
 
 void Source::on(double, const std::string& from, const PartPull& message) {
@@ -298,7 +308,10 @@
     if (!log_.holds(message.last)) return;
     peer.heard_at = now;
     peer.probing = false;
-    peer.matched = std::max(peer.matched, message.last.number);
+    if (message.last.number > peer.matched) {
+        peer.matched = message.last.number;
+        peer.again_at = now + settings_.retry_s;
+    }
     peer.sent = std::max(peer.sent, peer.matched);
     // Told before this reading began: it may be admitted in this term.
     peer.admitting = !peer.remembers && !message.disk_failed && peer.learner == message.process;
@@ -311,7 +324,11 @@
 
 // What a replica has does not fit: looks further back.
 void Source::probe(double now, const std::string& from, Peer& peer, const Appended& message) {
-    if (message.disk_failed) return;   // tried again when its time has come
+    if (message.disk_failed) {
+        peer.full_until = now + settings_.retry_s;
+        peer.sent = peer.matched;
+        return;
+    }
     const std::uint64_t next = std::min(message.last.number, log_.last().number);
     // Committed here and there, and not the same.
     if (next <= message.committed && next <= committed_ && log_.knows(next) &&
@@ -322,7 +339,7 @@
     }
     const bool progress = !peer.probing || next != peer.probe;
     peer.probing = true;
-    peer.probe = next;
+    peer.probe = peer.sent = next;
     if (progress) replicate(now, from, peer);
 }
 
--- a/src/rollout/source.hpp
+++ b/src/rollout/source.hpp
@@ -110,8 +110,9 @@
         bool probing = true;                   // what it has is not known yet
         std::uint64_t probe = 0;               // the previous number to try next
         bool admitting = false, diverged = false;
-        double again_at = 0;       // s; to send (again) at the latest
-        double heard_at = -1e18;   // s; of the last append that it took
+        double full_until = -1e18;   // s; its disk failed: nothing is sent until then
+        double again_at = 0;         // s; to send (again) at the latest
+        double heard_at = -1e18;     // s; of the last append that it took
     };
     struct Canary {
         std::deque<std::pair<double, std::uint64_t>> in_force;   // since when, number
