Tell each second who is behind, also once nothing new is cleared

The driver tells it each second; a relay's report goes on with its next pull at the same pace, not only when something is urgent.

--- a/src/rollout/driver.cpp
+++ b/src/rollout/driver.cpp
@@ -110,7 +110,7 @@
 void Driver::start() {
     endpoint_.start();
     const double now = started_ = net::now();
-    tell_at_ = feeder_ && replica_ ? now + kTellEvery : 1e18;
+    tell_at_ = feeder_ ? now + kTellEvery : 1e18;
     if (follower_) follower_->start(now);
     pump();
 }
@@ -194,7 +194,7 @@
     if (replica_ && replica_->due() <= now) replica_->wake(now);
     if (source_ && source_->due() <= now) source_->wake(now);
     if (feeder_ && feeder_->due() <= now) feeder_->wake(now);
-    if (now >= tell_at_) tell_source(now);
+    if (now >= tell_at_) tell_above(now);
     pump();
 }
 
@@ -305,13 +305,18 @@
     }
     for (const Post& post : feeder_->take_posts()) endpoint_.send(post.to, post.body);
     if (feeder_->urgent() == std::exchange(urgent_, feeder_->urgent())) return;
-    if (replica_) return tell_source(now);
-    follower_->set_subtree(feeder_->report(now));
-    follower_->report_now(now);
+    tell_above(now);
+    if (follower_) follower_->report_now(now);
 }
 
-void Driver::tell_source(double now) {
+// What is known of the children: to the source, or with a relay's next pull.
+void Driver::tell_above(double now) {
     tell_at_ = now + kTellEvery;
+    if (follower_) {
+        feeder_->advance(now, fed_version_, fed_staging_);   // who is behind is worked out there
+        return follower_->set_subtree(feeder_->report(now));
+    }
+    feeder_->advance(now, replica_->committed(), replica_->staging());
     if (!replica_->source().empty()) {
         const Post post{replica_->source(), body_of(Told{feeder_->report(now)})};
         route(post);
--- a/src/rollout/driver.hpp
+++ b/src/rollout/driver.hpp
@@ -121,7 +121,7 @@
     void tell_committed();
     void tell_version(const Version& version);
     void tell_in_force(const char* event, const Version& version, const State& state);
-    void tell_source(double now);
+    void tell_above(double now);
     void measure_everywhere(double now);
     void answer_waiting(double now);
     void tell_disk();
