Record a run in which the alerts of rollouts fire and resolve

Three control machines, two ingresses: one with a full disk (a limit on its files' size) lacks changes, then is started anew with room; then all control machines are gone for 66 s and come back. SlatejunctionRolloutBehind from 25.2 to 32.2 s, SlatejunctionRolloutUnheard from 101.2 to 114.0 s. The calm recording stays calm.

--- a/tests/rules/rules_test.cpp
+++ b/tests/rules/rules_test.cpp
@@ -187,7 +187,7 @@
               .empty());
     std::set<std::string> fired, resolved;
     for (const char* run : {"flood", "slow", "inputs", "directory_stops", "restarts", "limits",
-                            "descriptors", "sender", "rules", "fleet"}) {
+                            "descriptors", "sender", "rules", "fleet", "rollout"}) {
         INFO(run);
         const auto recording =
             standin::read_recording(std::string(SOURCE "/tests/rules/recordings/") + run + ".txt");
