--- a/tests/fleet/preload.cpp
+++ b/tests/fleet/preload.cpp
@@ -3,11 +3,14 @@
 //   RIG_RATE=1.01           all its clocks run so much faster, but for CLOCK_MONOTONIC_RAW, by which
 //   records are stamped RIG_STEP=2,-3600        2 s after its start the wall clock is set back by an hour
 //   RIG_STOP=POST /act,20   stops itself (SIGSTOP) right before the 20th send that begins so
+//   RIG_FULL=FILE           while FILE is there the disk is full for files of a folder named rollout
 #include <dlfcn.h>
 #include <sys/socket.h>
 #include <sys/types.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -86,6 +89,21 @@
     return real(fd, message, flags);
 }
 
+extern "C" ssize_t write(int fd, const void* data, size_t size) {
+    static const auto real = next<ssize_t (*)(int, const void*, size_t)>("write");
+    static const char* const full = std::getenv("RIG_FULL");
+    if (full && ::access(full, F_OK) == 0) {
+        char link[64], path[512];
+        std::snprintf(link, sizeof link, "/proc/self/fd/%d", fd);
+        const ssize_t length = ::readlink(link, path, sizeof path - 1);
+        if (length > 0) {
+            path[length] = 0;
+            if (std::strstr(path, "/rollout/")) return errno = ENOSPC, -1;
+        }
+    }
+    return real(fd, data, size);
+}
+
 extern "C" ssize_t send(int fd, const void* data, std::size_t size, int flags) {
     static const auto real = next<ssize_t (*)(int, const void*, std::size_t, int)>("send");
     rig().before_send(data, size);
