--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -179,12 +179,12 @@
 // refuse what all get.
 std::string Program::check_rollout(const rollout::State& state) {
     prepared_state_.reset();
-    const auto faults = operating::load_text(kRolledOut, operating::lay_over(text_, state), prepared_);
+    const auto faults = operating::parse_text(kRolledOut, operating::lay_over(text_, state), prepared_);
     if (!faults.empty()) return faults.front();
     try {
-        rules_->prepare(prepared_);
+        rules_->prepare(prepared_);   // compiles them: once is enough, it is all that a version costs
     } catch (const std::exception& bad) {
-        return bad.what();
+        return std::string(kRolledOut) + ": " + bad.what();
     }
     prepared_state_ = state;
     return {};
--- a/src/operator/options.cpp
+++ b/src/operator/options.cpp
@@ -1,5 +1,7 @@
 #include "operator/options.hpp"
 
+#include <utility>
+
 #include "rules/rules.hpp"
 
 namespace slatejunction::operating {
@@ -48,7 +50,7 @@
     return load_text(path, text, options);
 }
 
-std::vector<std::string> load_text(const std::string& path, const std::string& text, Options& options) {
+std::vector<std::string> parse_text(const std::string& path, const std::string& text, Options& options) {
     Options fresh;
     auto sections = fresh.sections();
     std::vector<std::string> faults =
@@ -78,12 +80,18 @@
         const std::string fault = fault_of_rollout(fresh);
         if (!fault.empty()) faults.push_back(path + ": [rollout] " + fault);
     }
-    if (faults.empty()) {
-        std::vector<std::string> of_rules;
-        rules::Rules::load(fresh.rules, {}, of_rules);
-        for (const std::string& fault : of_rules) faults.push_back(path + ": " + fault);
-    }
-    if (faults.empty()) options = fresh;
+    if (faults.empty()) options = std::move(fresh);
+    return faults;
+}
+
+std::vector<std::string> load_text(const std::string& path, const std::string& text, Options& options) {
+    Options fresh;
+    std::vector<std::string> faults = parse_text(path, text, fresh);
+    if (!faults.empty()) return faults;
+    std::vector<std::string> of_rules;
+    rules::Rules::load(fresh.rules, {}, of_rules);
+    for (const std::string& fault : of_rules) faults.push_back(path + ": " + fault);
+    if (faults.empty()) options = std::move(fresh);
     return faults;
 }
 
--- a/src/operator/options.hpp
+++ b/src/operator/options.hpp
@@ -43,6 +43,8 @@
 std::vector<std::string> load(const std::string& path, Options& options);
 // The same for the file's text; `path` names it in faults.
 std::vector<std::string> load_text(const std::string& path, const std::string& text, Options& options);
+// The same but for the rules' expressions, which whoever compiles them anyway checks.
+std::vector<std::string> parse_text(const std::string& path, const std::string& text, Options& options);
 // The file with every key, its unit and its default.
 std::string sample();
 
