--- a/src/rollout/driver.cpp
+++ b/src/rollout/driver.cpp
@@ -312,11 +312,7 @@
 // What is known of the children: to the source, or with a relay's next pull.
 void Driver::tell_above(double now) {
     tell_at_ = now + kTellEvery;
-    if (follower_) {
-        feeder_->advance(now, fed_version_, fed_staging_);   // who is behind is worked out there
-        return follower_->set_subtree(feeder_->report(now));
-    }
-    feeder_->advance(now, replica_->committed(), replica_->staging());
+    if (follower_) return follower_->set_subtree(feeder_->report(now));
     if (!replica_->source().empty()) {
         const Post post{replica_->source(), body_of(Told{feeder_->report(now)})};
         route(post);
--- a/src/rollout/settings.hpp
+++ b/src/rollout/settings.hpp
@@ -27,7 +27,7 @@
     std::string key_file;   // empty: that of [peers]
     std::int64_t canaries = 5;
     double canary_s = 1;
-    double bytes_per_s = 4'000'000;   // of records and snapshots to all children
+    double bytes_per_s = 40'000'000;   // of records and snapshots to all children
     bool operator==(const Options&) const = default;
 
     bool on() const { return follows() || feeds(); }
