--- a/tests/rollout/cases_test.cpp
+++ b/tests/rollout/cases_test.cpp
@@ -250,6 +250,62 @@
     CHECK(fleet.breach() == "");
 }
 
+TEST_CASE("a record of an older term counts only with one of the source's own behind it", "[rollout]") {
+    // Raft's figure 8: a majority has the record of term 1, and one of term 2 may yet take its place.
+    Plan plan = quiet(2);
+    plan.controls = 5;
+    Fleet fleet(plan);
+    fleet.put("a", "0");
+    fleet.run_for(5);
+    const auto only = [&](const std::set<std::string>& whom) {
+        fleet.set_filter([whom](const std::string&, const std::string& to, Message& message) {
+            return carries_records(message) && !whom.contains(to);
+        });
+    };
+    only({"c0", "c1"});
+    const std::uint64_t number = fleet.put("a", "1");
+    fleet.run_for(0.2);
+    fleet.kill("c0");
+    fleet.set_group("c1", 1);
+    only({"c4"});
+    fleet.gain("c4");
+    fleet.run_for(1);
+    REQUIRE(fleet.put("a", "2", "c4") == number);
+    fleet.run_for(0.2);
+    fleet.kill("c4");
+    fleet.heal();
+    // c0 again: what it has comes to c2 as well, but nothing of its own term to anybody else.
+    fleet.start("c0");
+    fleet.set_group("c3", 1);
+    fleet.set_filter([number](const std::string&, const std::string& to, Message& message) {
+        auto* append = std::get_if<Append>(&message);
+        if (append && to != "c0")
+            std::erase_if(append->records, [number](const Record& one) { return one.number > number; });
+        return false;
+    });
+    fleet.gain("c0");
+    fleet.run_for(2);
+    for (const char* name : {"c0", "c1", "c2"}) {
+        REQUIRE(fleet.replica(name).log().knows(number));
+        CHECK(fleet.replica(name).log().record(number).value == "1");
+    }
+    CHECK(fleet.source("c0").committed() < number);
+    fleet.kill("c0");
+    fleet.heal();
+    fleet.set_filter({});
+    fleet.set_group("c1", 1);
+    fleet.start("c4");
+    fleet.gain("c4");
+    fleet.run_for(kBound);
+    CHECK(fleet.source("c4").committed() > number);
+    CHECK(fleet.having("a", "2") == 2);
+    fleet.heal();
+    fleet.start("c0");
+    fleet.run_for(5);
+    CHECK(fleet.replica("c0").log().last() == fleet.replica("c4").log().last());
+    CHECK(fleet.breach() == "");
+}
+
 TEST_CASE("a relay stands still: its children go elsewhere; it wakes and goes on", "[rollout]") {
     Plan plan = quiet(6);
     plan.relays = 1;
@@ -529,6 +585,64 @@
     CHECK(fleet.breach() == "");
 }
 
+TEST_CASE("who promised must be who tells what it holds", "[rollout]") {
+    // c3 gains and c1 promises; c1 loses its disk, c0 admits it again. c2 promises and tells c3 what it
+    // holds, loses its disk as well, and c0 admits it by c1's word. What c0 commits then nobody has told c3
+    // of.
+    Plan plan = quiet(2);
+    plan.controls = 5;
+    Fleet fleet(plan);
+    fleet.put("a", "1");
+    fleet.run_for(5);
+    std::set<std::string> hear_c3{"c1", "c3"},
+        dumb{"c1", "c3"};   // dumb: c0 is not told what they promised
+    bool inspect_c1 = false, records_to_c1 = true, done = false;
+    fleet.set_filter([&](const std::string& from, const std::string& to, Message& message) {
+        if (done) return false;
+        if (from == "c0" && to == "c3") return true;
+        if (from == "c3" && !hear_c3.contains(to)) return true;
+        if (from == "c3" && to == "c1" && std::holds_alternative<Inspect>(message)) return !inspect_c1;
+        if (from == "c0" && to == "c1" && carries_records(message)) return !records_to_c1;
+        return to == "c0" && dumb.contains(from);
+    });
+    fleet.gain("c3");
+    fleet.run_for(0.2);
+    fleet.kill("c1");
+    fleet.lose_disk("c1");
+    dumb.erase("c1");
+    fleet.start("c1");
+    fleet.run_for(8);
+    REQUIRE(fleet.replica("c1").remembers());
+    REQUIRE(fleet.source("c3").stage() == Source::Stage::preparing);
+    dumb.insert("c2");
+    hear_c3.insert("c2");
+    for (int i = 0; i < 100 && fleet.source("c3").stage() == Source::Stage::preparing; ++i)
+        fleet.run_for(0.01);
+    REQUIRE(fleet.source("c3").stage() == Source::Stage::inspecting);
+    fleet.run_for(0.1);
+    fleet.kill("c2");
+    fleet.lose_disk("c2");
+    dumb.erase("c2");
+    hear_c3.erase("c2");
+    fleet.start("c2");
+    records_to_c1 = false;
+    for (int i = 0; i < 100 && !fleet.replica("c2").remembers(); ++i) fleet.run_for(0.01);
+    REQUIRE(fleet.replica("c2").remembers());
+    const std::uint64_t number = fleet.put("b", "1");
+    fleet.run_for(0.1);
+    REQUIRE(fleet.source("c0").committed() == number);
+    REQUIRE(fleet.source("c3").stage() == Source::Stage::inspecting);
+    inspect_c1 = true;
+    for (int i = 0; i < 60 && fleet.source("c3").stage() == Source::Stage::inspecting; ++i)
+        fleet.run_for(0.01);
+    CHECK(fleet.source("c3").stage() == Source::Stage::preparing);   // anew
+    done = true;
+    fleet.run_for(20);
+    CHECK(fleet.source("c3").stage() == Source::Stage::ready);
+    CHECK(fleet.having("b", "1") == 2);
+    CHECK(fleet.breach() == "");
+}
+
 TEST_CASE("a fleet that is started for the first time wants all replicas once", "[rollout]") {
     World world(quiet(2), 1);
     world.kill("c2");
