Blame the change, not a revert, for a version that can't be used

Change: where a refused version ends a reverted stretch, the follower tries the changes of the stretch that still count, one after another, and refuses the first that makes the state unusable; that one can be reverted.

--- a/src/rollout/follower.cpp
+++ b/src/rollout/follower.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace slatejunction::rollout {
 namespace {
@@ -261,7 +262,8 @@
     const Put done = put(now, top, why);
     if (done == Put::disk) prepare_at_ = now + settings_.disk_retry_s;
     if (done != Put::refused) return;
-    const bool known = refused_ > in_force_.number && log_.whole_at_most(refused_, held) == refused_;
+    const bool known =
+        refused_at_ > in_force_.number && log_.whole_at_most(refused_at_, held) == refused_at_;
     refused_with_ = held;
     if (known) return;
     std::vector<std::uint64_t> stops;   // whole versions
@@ -288,7 +290,8 @@
         prepare_at_ = now + settings_.disk_retry_s;
         return;
     }
-    refused_ = stops[bad];
+    refused_at_ = stops[bad];
+    refused_ = blame(refused_at_, why);
     refused_with_ = held;
     prepare_at_ = 1e18;
     reason_ = why;
@@ -296,6 +299,34 @@
     pull_at(now);
 }
 
+// The change that makes this whole version, the first after the one in force, unusable. A version that ends
+// a reverted stretch brings with it all changes of the stretch that still count: a revert is never to blame
+// where one of those is, as only a change can be reverted.
+std::uint64_t Follower::blame(std::uint64_t number, std::string& why) {
+    if (log_.record(number).reverts == 0) return number;
+    std::map<std::string, std::uint64_t> latest;   // by key: the last change that counts
+    for (std::uint64_t at = in_force_.number + 1; at < number; ++at) {
+        const Record& one = log_.record(at);
+        const std::uint64_t by = log_.reverted_by(at);
+        const bool counts = one.kind != Kind::none && one.reverts == 0 && (by == 0 || by > number);
+        if (counts) latest[one.key] = at;
+    }
+    std::set<std::uint64_t> suspects;
+    for (const auto& [key, at] : latest) suspects.insert(at);
+    Changes taken;
+    for (const std::uint64_t at : suspects) {
+        const Record& one = log_.record(at);
+        taken[one.key] = one.kind == Kind::put ? std::optional(one.value) : std::nullopt;
+        Changes changes = taken;
+        const std::string fault = try_changes(changes);
+        exchange(state_, changes);
+        if (fault.empty()) continue;
+        why = fault;
+        return at;
+    }
+    return number;
+}
+
 Changes Follower::changes_to(std::uint64_t number) const {
     Changes changes;
     for (std::uint64_t at = in_force_.number + 1; at <= number; ++at) {
@@ -345,7 +376,7 @@
     ++tally_.versions;
     in_force_events_.push_back({version, std::move(changes)});
     log_.trim(settings_.records_kept, settings_.bytes_kept, version.number);
-    refused_ = refused_with_ = 0;
+    refused_ = refused_at_ = refused_with_ = 0;
     whole_refused_ = false;
     if (since_compact_ >= settings_.compact_after) compact();
     // What a canary has in force is waited for.
--- a/src/rollout/follower.hpp
+++ b/src/rollout/follower.hpp
@@ -6,8 +6,9 @@
 //  2. A version is durable (home.hpp) before it is in force, and in force before it is reported.
 //  3. A record is taken only after the one before it, by number and chain; one of another sequence is never
 //     merged: the follower stays where it is and says `diverged`.
-//  4. A version that the consumer can't use is refused with its number, and the follower stays before it;
-//     it goes over it and its revert in one step.
+//  4. Of a version that the consumer can't use the change that is to blame is refused by its number, and
+//  the
+//     follower stays before it; it goes over it and its revert in one step.
 #pragma once
 
 #include <functional>
@@ -116,6 +117,7 @@
     enum class Put { in_force, refused, disk };
     Put put(double now, std::uint64_t number, std::string& why);
     std::string try_changes(Changes& changes);
+    std::uint64_t blame(std::uint64_t number, std::string& why);
     Changes changes_to(std::uint64_t number) const;
     void enter(double now, const Version& version, Changes changes);
     void take_whole(double now);
@@ -142,9 +144,10 @@
     std::uint64_t limit_ = 0;                // the highest told
     std::uint64_t target_ = 0;               // to be put in force next; stands until it is reached
     std::map<std::uint64_t, Offer> early_;   // by the previous number: came before what they follow
-    std::uint64_t refused_ = 0;
-    std::uint64_t refused_with_ = 0;   // the last record held when it was tried
-    bool whole_refused_ = false;       // a snapshot, in which no single number is to blame
+    std::uint64_t refused_ = 0;              // the change that is to blame
+    std::uint64_t refused_at_ = 0;           // the first whole version that can't be used for it
+    std::uint64_t refused_with_ = 0;         // the last record held when it was tried
+    bool whole_refused_ = false;             // a snapshot, in which no single number is to blame
     std::string reason_;
     bool diverged_ = false, disk_failed_ = false;
     double pull_at_ = 1e18, asked_at_ = -1e18, move_at_ = 1e18, home_at_ = 1e18, leave_at_ = 1e18;
--- a/tests/rollout/cases_test.cpp
+++ b/tests/rollout/cases_test.cpp
@@ -150,6 +150,28 @@
     CHECK(fleet.breach() == "");
 }
 
+TEST_CASE("changes in a row that the half can't use are all reverted, of one key or of several",
+          "[rollout]") {
+    for (const std::string& second_key : {std::string("a"), std::string("c")}) {
+        CAPTURE(second_key);
+        Fleet fleet(quiet(9));
+        fleet.put("a", "good");
+        fleet.run_for(6);
+        // Both are committed before the first refusal is heard.
+        const std::uint64_t first = fleet.put("a", "bad-odd-1");
+        const std::uint64_t second = fleet.put(second_key, "bad-odd-2");
+        const std::uint64_t after = fleet.put("b", "after");
+        fleet.run_for(24);
+        REQUIRE(fleet.said(SourceEvent::What::reverted, first));
+        CHECK(fleet.said(SourceEvent::What::reverted, second));
+        CHECK(fleet.source("c0").log().reverted_by(first) > after);
+        CHECK_FALSE(fleet.said(SourceEvent::What::irrevertible, second));
+        CHECK(fleet.having("a", "good") == 9);
+        CHECK(fleet.having("b", "after") == 9);
+        CHECK(fleet.breach() == "");
+    }
+}
+
 TEST_CASE("a canary refuses: what is not cleared never leaves the canaries", "[rollout]") {
     Fleet fleet(quiet(9));
     fleet.put("a", "good");
