Measure the rollout of configuration on up to 7,000 hollow ingresses

The lease is taken as given and no files are written.

Homes of followers are the number alone, over one committed sequence held by the model, which also checks each version in force against it. On a slow machine a burst ends early and its table says how long it lasted.

--- a/bench/scale/duties.hpp
+++ b/bench/scale/duties.hpp
@@ -27,6 +27,13 @@
 void limits(const Run& run);
 void together(const Run& run);   // all duties over real membership, with its budget of datagrams
 void disorder(const Run& run);
+// Configuration in force on the whole fleet: without loss, with it, by relays; through faults; at ingresses
+// that come with nothing.
+void rollout_plain(const Run& run);
+void rollout_loss(const Run& run);
+void rollout_relays(const Run& run);
+void rollout_faults(const Run& run);
+void rollout_empty(const Run& run);
 void rules(const Run& run);
 
 // Of one ingress.
--- a/bench/scale/fleet.cpp
+++ b/bench/scale/fleet.cpp
@@ -16,14 +16,6 @@
 constexpr double kNever = 1e17;
 constexpr std::uint32_t kLimit = 1;
 
-// One way, s: inside a zone, a region, and between regions by how far they are apart.
-double distance(std::size_t zone, std::size_t other, std::size_t regions) {
-    if (zone == other) return 0.0002;
-    const std::size_t a = zone % regions, b = other % regions;
-    if (a == b) return 0.0008;
-    return 0.012 + 0.016 * static_cast<double>(a > b ? a - b : b - a);
-}
-
 std::vector<peers::Key> keys() { return {peers::Key{}}; }
 
 std::uint32_t channel_of(Duty duty) { return static_cast<std::uint32_t>(duty); }
--- a/bench/scale/fleet_main.cpp
+++ b/bench/scale/fleet_main.cpp
@@ -12,6 +12,11 @@
                     {"limits", limits},
                     {"together", together},
                     {"disorder", disorder},
+                    {"rollout", rollout_plain},
+                    {"rollout_loss", rollout_loss},
+                    {"rollout_relays", rollout_relays},
+                    {"rollout_faults", rollout_faults},
+                    {"rollout_empty", rollout_empty},
                     {"rules", rules},
                     {"fits", fits}},
                    argc, argv);
--- a/bench/scale/names.hpp
+++ b/bench/scale/names.hpp
@@ -1,4 +1,4 @@
-// Names and addresses of the ingresses of a model, as long as real ones.
+// Names, addresses and distances of the ingresses of a model, as long as real ones.
 #pragma once
 
 #include <cstddef>
@@ -19,4 +19,12 @@
 
 inline std::string zone_name(std::size_t zone) { return "zone-" + std::to_string(zone); }
 
+// One way, s: inside a zone, a region, and between regions by how far they are apart.
+inline double distance(std::size_t zone, std::size_t other, std::size_t regions) {
+    if (zone == other) return 0.0002;
+    const std::size_t a = zone % regions, b = other % regions;
+    if (a == b) return 0.0008;
+    return 0.012 + 0.016 * static_cast<double>(a > b ? a - b : b - a);
+}
+
 }   // namespace slatejunction::scale
--- a/tests/scale/scale_test.cpp
+++ b/tests/scale/scale_test.cpp
@@ -10,6 +10,8 @@
 #include "files.hpp"
 #include "fit.hpp"
 #include "fleet.hpp"
+#include "rollout/bound.hpp"
+#include "rollout_fleet.hpp"
 #include "table.hpp"
 
 using namespace slatejunction;
@@ -189,3 +191,66 @@
     CHECK(bytes(3) == bytes(3));
     CHECK(bytes(3) != bytes(4));
 }
+
+TEST_CASE("changes are in force on a whole fleet within their bound, idle and in a burst", "[scale]") {
+    const Tables tables(scale::rollout_plain, 100);
+    for (const char* name : {"rollout_steady", "rollout_burst"}) {
+        INFO(name);
+        const Table table = tables.table(name);
+        CHECK(one_of(table, "changes") > 5);
+        CHECK(one_of(table, "not_everywhere") == 0);
+        CHECK(one_of(table, "all_worst_s") >= 1);   // the canaries' time
+        rollout::BoundTimes times;
+        times.losses = 0;
+        CHECK(one_of(table, "all_worst_s") <= rollout::in_force_within_s(times));
+    }
+    const Table memory = tables.table("rollout_memory");
+    CHECK(one_of(memory, "diverged") == 0);
+    CHECK(one_of(memory, "went_back") == 0);
+    const Table burst = tables.table("rollout_load_burst");
+    CHECK(one_of(burst, "ingress_heard_bytes_s") >
+          10 * one_of(tables.table("rollout_load_steady"), "ingress_heard_bytes_s"));
+}
+
+TEST_CASE("a fleet is back after each fault, and who is silent is named", "[scale]") {
+    const Tables tables(scale::rollout_faults, 100);
+    for (const char* name : {"rack", "zone", "regions", "source_killed", "source_killed_late",
+                             "control_killed", "release_tenths", "release_most", "restarts"}) {
+        INFO(name);
+        const Table table = tables.table(std::string("rollout_") + name);
+        CHECK(one_of(table, "back_s") <= 11);
+        CHECK(one_of(table, "diverged") == 0);
+        CHECK(one_of(table, "went_back") == 0);
+        CHECK(one_of(table, "records_each") == one_of(table, "missed_each"));
+        CHECK(one_of(table, "snapshots") == 0);
+        CHECK(one_of(table, "not_everywhere") <= one_of(table, "refused_proposals"));
+    }
+    for (const char* name : {"rack", "zone"}) {
+        const Table table = tables.table(std::string("rollout_") + name);
+        CHECK(one_of(table, "met") > 0);
+        CHECK(one_of(table, "silent_most") == one_of(table, "met"));
+        CHECK(one_of(table, "silent_named") == one_of(table, "met"));
+    }
+}
+
+TEST_CASE("an ingress that comes with nothing takes the whole state once", "[scale]") {
+    const Table table = Tables(scale::rollout_empty, 0).table("rollout_empty_one");
+    CHECK(one_of(table, "broken") == 0);
+    CHECK(one_of(table, "heard_kb_each") > one_of(table, "state_kb"));
+    CHECK(one_of(table, "heard_kb_each") < 1.5 * one_of(table, "state_kb"));
+}
+
+TEST_CASE("the seed repeats all of a rollout", "[scale]") {
+    const auto bytes = [](std::uint64_t seed) {
+        RolloutPlan plan;
+        plan.ingresses = 17;
+        plan.loss = 0.05;
+        RolloutFleet fleet(plan, seed);
+        fleet.set_rate(2);
+        fleet.run_for(20);
+        CHECK(fleet.in_force(fleet.ingress(0)) > 10);
+        return fleet.loads().ingress.bytes();
+    };
+    CHECK(bytes(3) == bytes(3));
+    CHECK(bytes(3) != bytes(4));
+}
