Split the expressions' evaluator into modules with one job each

src/expr/eval.cpp had 1,068 lines in one class: the loop over instructions, arithmetic, comparison, collections, macros' loops, functions on texts, conversions and fields of times. It now has the loop alone (249 lines); the rest stands in arithmetic, compare, collections, loop, call, convert, text_functions, text_search, split_join and time_fields, with short functions and documented headers. What an operation may use (arena, bound, cost spent) is passed to it as a Context; the private state of the evaluator is no longer in its reach. Behaviour, costs, bounds and texts of errors are as before; no test is changed.

Two calls between modules were made inline again, as they cost: a loop's next item and the search for a text.

--- a/src/expr/program.hpp
+++ b/src/expr/program.hpp
@@ -11,6 +11,7 @@
 
 #include "expr/cost.hpp"
 #include "expr/functions.hpp"
+#include "expr/loop.hpp"
 #include "expr/syntax.hpp"
 #include "expr/types.hpp"
 #include "expr/value.hpp"
@@ -57,8 +58,6 @@
     end,
 };
 
-enum class Macro : std::uint8_t { all, exists, exists_one, map, filter };
-
 struct Instruction {
     Op op = Op::end;
     std::uint8_t n = 0;   // of a call: values it takes; of a loop: its Macro
@@ -142,16 +141,6 @@
 
   private:
     friend class Machine;
-    struct Loop {
-        const Value* items = nullptr;
-        const Pair* pairs = nullptr;
-        std::size_t count = 0, next = 0, made = 0;
-        Value* out = nullptr;
-        Value result;
-        Value error;   // null: none
-        Value item;
-        bool over = false;
-    };
     std::vector<Value> stack_, locals_;
     std::vector<Loop> loops_;
     Arena arena_;
@@ -159,6 +148,5 @@
 
 // a and b as the language's == has them; what it costs is added to `spent`.
 bool equal(const Value& a, const Value& b, cost::Units& spent);
-inline constexpr std::string_view kOverBound = "the evaluation passed its bound";
 
 }   // namespace slatejunction::expr
