Split the quota's bank into modules with one job each

src/quota/bank.cpp had 711 lines: how a quota is divided into stores, the stated error, names on the counter, admission, reports, the check of what the counter holds, beats and the loss of the counter. Long functions are divided (settle, wake, report_if_due, take, refused), two formulas that stood several times have one place (the time on the common clock, a free store's level). Headers that include bank.hpp need no change. Behaviour is as before, also for numbers that are not finite; no test is changed.

Measured: the tests of bank, wire and sentinel pass (108,861 assertions in 24 cases).

--- a/src/quota/bank.hpp
+++ b/src/quota/bank.hpp
@@ -1,4 +1,4 @@
-// Quotas that hold over several ingresses, kept through a shared counter. A decision room: facts in
+// Quotas that hold over several ingresses, kept through a shared counter. A state machine: facts in
 // (requests, answers of the counter and how calls to it ended, the time), calls and verdicts out. No I/O,
 // no clock, no globals; equal settings, seed and facts give equal calls. docs/design/shared-quota.md says
 // why it is so.
@@ -9,7 +9,6 @@
 // calls.
 #pragma once
 
-#include <cmath>
 #include <cstdint>
 #include <deque>
 #include <random>
@@ -18,60 +17,11 @@
 #include <utility>
 #include <vector>
 
-namespace slatejunction::quota {
-
-inline constexpr double kGeneration = 50;   // s; names live 60 s at most
-inline std::int64_t generation_of(double unix_s) {
-    return static_cast<std::int64_t>(std::floor(unix_s / kGeneration));
-}
-inline constexpr unsigned kIngressesMost = 11;   // digits of the beats in a total that is exact to 7
-inline constexpr double kBeatEvery = 1;          // s
-inline constexpr double kBeatLife = 3;           // s
-inline constexpr double kMissingAfter = 5;       // s without a beat
-inline constexpr double kCheckEvery = 2;         // s, where anything is reported
-inline constexpr double kLostAfter = 0.3;        // s without any answer while one is owed
-inline constexpr int kLostFailures = 3;          // calls in a row that were not done
-inline constexpr double kProbeEvery = 0.5;       // s, while the counter is lost
-inline constexpr double kSettle = 2;             // s after its return in which the others report too
-
-struct PlanQuota {
-    std::string name;
-    double rate = 0;      // units a second
-    double burst = 0;     // units
-    double max_out = 0;   // attempts out over all ingresses; 0: not limited
-};
-
-struct Settings {
-    std::vector<PlanQuota> plans;
-    unsigned number = 0, ingresses = 1;   // this one of how many, from 0
-    unsigned parts = 1;                   // of the counter
-    double credit = 4;                    // k: units that an ingress may have passed and not reported
-    double free_part = 0.3;               // of each rate, split evenly
-    double free_units = 2;                // the free part's burst at least
-    double largest = 1;                   // units of the largest request
-    double calls_per_s = 200;
-    double skew_s = 0.05;   // between any two ingresses' clocks, at most
-    std::size_t customers_most = 100'000;
-};
-
-// The ingresses that a customer's requests come through: `spread` from `first` on, counted round.
-struct Doors {
-    unsigned first = 0, spread = 1;
-    bool operator==(const Doors&) const = default;
-};
+#include "quota/account.hpp"
+#include "quota/plan.hpp"
+#include "quota/stores.hpp"
 
-// What may be sent on for one customer in any window of t seconds beyond burst + rate * t, in units.
-struct StatedError {
-    double healthy = 0;     // the counter answers, or slowly
-    double lost = 0;        // it answers nobody for any time, and after its return
-    double split = 0;       // it answers some
-    double empty = 0;       // it has lost all it held
-    double older = 0;       // it came back with an older state
-    double restarted = 0;   // for each restart of an ingress without its state
-};
-// `cut_off`: of the customer's ingresses, so many in a split.
-StatedError stated_error(const Settings& settings, const PlanQuota& plan, unsigned spread,
-                         unsigned cut_off);
+namespace slatejunction::quota {
 
 // Adds `by` to `name` of that part; a new name lives `life_ms`. Calls of one part reach it in their order.
 struct Call {
@@ -128,94 +78,56 @@
     double level(std::uint64_t customer) const;
 
   private:
-    static constexpr double kNever = -1e18;
-    // An answer to a report, and what was asked.
-    struct Answer {
-        double before = 0, total = 0;   // V without and with what was added
-        double lift = kNever, units = 0;
-        bool tally = false, fresh = false;   // the units are a tally; the name was new
-        std::int64_t generation = 0;
-        std::uint64_t since = 0;   // the number of the last check sent before it came
-    };
-    struct Account {
-        unsigned plan = 0, part = 0;
-        Doors doors;
-        double v = kNever;      // V as it should be by the last answer; kNever: not known
-        double seen = kNever;   // V as the counter had it, of `generation` and `epoch`
-        std::int64_t generation = 0;
-        std::uint64_t epoch = 0;
-        double known_at = 0;
-        double unreported = 0, since = 0;    // units, and when the first of them was passed
-        double tally = 0, tally_since = 0;   // passed of the share while the counter was lost
-        double flight_since = 0;
-        double in_flight = 0;   // units of the call that is out, or whose answer is not believed yet
-        bool calling = false, queued = false;
-        bool only = false;      // nobody else has reported between the last two answers
-        bool suspect = false;   // an answer waits for a check
-        Answer held;
-        double free_v = 0;         // of the free part, as V
-        double share_v = kNever;   // of the share while the counter is lost
-        double used_at = 0;
-        unsigned out = 0;
-    };
-    struct Part {
-        bool lost = false;
-        int failures = 0;
-        double silent_since = 0;   // 0: nothing is owed
-        double lost_at = kNever, returned_at = kNever;
-        double next_probe = 0, next_beat = 0, next_check = 0;
-        double floor_at = kNever;   // it was found empty then
-        std::uint64_t epoch = 1;
-        // The check: a name of this ingress's own that counts up.
-        std::int64_t check_generation = -1;
-        double check_least = 0;   // what it holds at least; 0: it is not made yet
-        double check_made_at = 0;
-        bool reported = false;   // something, since the last check
-        bool checking = false, check_wanted = false;
-        std::uint64_t checks = 0;              // sent
-        std::vector<std::uint64_t> suspects;   // customers
-        std::vector<double> beat_at;           // by ingress, when last seen
-        double beat_total = 0;
-        bool beat_out = false;
-        std::size_t owed = 0;   // calls without an end
-    };
-    enum class What { report, check, beat, before, sentinel };
-    struct Pending {
-        What what = What::report;
-        std::uint64_t customer = 0;
-        unsigned part = 0;
-        double units = 0, lift = kNever, by = 0;
-        bool tally = false;
-        std::int64_t generation = 0;
-        std::uint64_t number = 0;   // of a check
-    };
+    // bank.cpp: the time, calls and how they end.
+    void advance(double now);
+    double clock() const { return now_ + offset_; }   // s, as all ingresses read it
+    std::uint64_t send(Pending pending, std::string name, std::uint32_t life_ms);
+    void take_answer(const Pending& pending, double total);
+    void take_back(const Pending& pending, Account& account);
+    void set_due();
 
-    double step(double now);
+    // admission.cpp: what a customer's stores have room for.
     unsigned part_of(std::uint64_t customer) const;   // of the counter
     const PlanQuota& plan(const Account& account) const { return settings_.plans[account.plan]; }
+    Stores stores_of(const Account& account) const;
     double factor(const Account& account) const;
     bool sharing(const Account& account) const;   // it keeps to its share
     double level(const Account& account) const;
+    double free_level(const Account& account) const;
     double share_level(const Account& account) const;
     double wait(const Account& account, double units) const;
     Account& account(std::uint64_t customer, unsigned plan, Doors doors);
     void forget_some();
-    std::uint64_t send(Pending pending, std::string name, std::uint32_t life_ms);
+    void take_share(std::uint64_t customer, Account& account, double units);
+    void take_charged(std::uint64_t customer, Account& account, double units);
+
+    // reports.cpp: what the counter is told of customers, and its answers.
     void reread(std::uint64_t customer, Account& account);
+    bool report_wanted(const Account& account) const;
     void report_if_due(std::uint64_t customer, Account& account);
+    void report_news(std::uint64_t customer, Account& account);
     void report(std::uint64_t customer, Account& account, double units, double lift, double by);
+    void report_queued();
+    Answer answer_to(const Pending& pending, double total) const;
     void on_report(const Pending& pending, double total);
-    void settle(std::uint64_t customer, Account& account, Answer answer);
-    void believe(std::uint64_t customer, Account& account);
+    void read_before(std::uint64_t customer, const Account& account);
     void on_before(const Pending& pending, double total);
+    void believe(std::uint64_t customer, Account& account);
+    double base_of(const Account& account, const Answer& answer) const;
+    void follow_faster_clock(double ahead);
+    void settle(std::uint64_t customer, Account& account, Answer answer);
+
+    // counter_state.cpp: whether a part of the counter answers and keeps what it held, and who uses it.
+    void want_check(unsigned part);
     void on_check(const Pending& pending, double total);
+    void believe_checked(unsigned part, std::uint64_t check);
+    void empty(unsigned part);
     void on_beat(unsigned part, double total);
-    void want_check(unsigned part);
-    void failed(unsigned part);
     void heard(unsigned part);
+    void failed(unsigned part);
     void lose(unsigned part);
-    void empty(unsigned part);
-    void arm();
+    void wake_part(unsigned part);
+    bool beat(unsigned part, double jitter);
 
     Settings settings_;
     std::mt19937_64 random_;
@@ -224,7 +136,7 @@
     std::uint64_t numbers_ = 0, empties_ = 0, nonce_ = 0;
     std::unordered_map<std::uint64_t, Account> accounts_;
     std::unordered_map<std::uint64_t, Pending> pending_;
-    std::vector<Part> parts_;
+    std::vector<CounterPart> parts_;
     std::vector<Call> calls_;
     std::vector<unsigned> found_;
     std::vector<SentinelRead> sentinels_;
