--- a/src/consumer/session.cpp
+++ b/src/consumer/session.cpp
@@ -29,6 +29,8 @@
 // s; how long a full house leaves each of these alone: one just made may be about to ask
 constexpr double kSpareLinger = 0.25, kSpareSilent = 0.1, kSpareHalf = 0.5;
 
+constexpr double kRetryMost = 1e6;   // s; advice beyond it says the same, and its digits have a bound
+
 std::string_view start_line(int status) {
     switch (status) {
         case 200:
@@ -59,6 +61,7 @@
 // While an answer is owed, a little is read ahead, which shows whether the consumer is still there.
 std::span<char> Session::space() {
     if (uploading_) return held_ ? std::span<char>() : buffer_.space(kAtOnce);
+    if (unread()) return {};
     if (!busy_) return parser_.room(buffer_);
     if (buffer_.view().size() >= kAheadMost) return {};
     return buffer_.space(512);
@@ -77,10 +80,14 @@
     if (!busy_ && !closing_) read_next();
 }
 
+// Guards against memory that grows with the answers to a consumer that asks on and reads none: the next
+// request waits. Of one that is coming only 100 Continue can be unsent.
+bool Session::unread() const { return !busy_ && !closing_ && !parser_.has_head() && transport_->unsent(); }
+
 void Session::read_next() {
     if (reading_) return;   // answered at once: the loop below goes on
     reading_ = true;
-    while (!busy_ && !closing_ && !buffer_.view().empty()) {
+    while (!busy_ && !closing_ && !unread() && !buffer_.view().empty()) {
         const http::Step step = parser_.feed(buffer_);
         if (step == http::Step::more) {
             expect();
@@ -155,21 +162,28 @@
     invocation->bytes = std::move(buffer_);
     buffer_ = std::move(next);
     if (health) return answer({host_.ready() ? 200 : 503, 0, {}, {}});
+    const auto keep = shared_from_this();
+    handing_on_ = true;
     const std::uint64_t number =
         host_.on_invocation(std::static_pointer_cast<Session>(shared_from_this()), std::move(invocation));
-    if (busy_) number_ = number;
+    handing_on_ = false;
+    if (!busy_) return;
+    number_ = number;
+    if (!sink_.expired()) go_on();
 }
 
 // A request's rest. -----------------------------------------------------------------------------------
 
 void Session::pull(std::weak_ptr<Sink> sink) {
     sink_ = std::move(sink);
-    held_ = sink_.expired();
+    held_ = handing_on_ || sink_.expired();
     if (!held_) go_on();
 }
 
 void Session::go_on() {
-    if (rest_) return;
+    if (rest_ || handing_on_) return;
+    // Who calls may hold it by the request alone, which is forgotten once both sides have gone.
+    const auto keep = shared_from_this();
     held_ = false;
     moved_ = net::now();
     if (!uploading_) return;
@@ -186,7 +200,11 @@
         const http::BodyReader::State state = reader_.feed(in, part);
         if (!part.empty()) {
             invocation->passed = true;
-            held_ = !sink->put(part);
+            const bool more = sink->put(part);
+            // The sink may have found its connection broken: then the request has its answer by now, or the
+            // session its end, and nothing of what was read is left.
+            if (!uploading_) return;
+            held_ = held_ || !more;
         }
         if (state == http::BodyReader::State::bad) {
             const std::uint64_t number = std::exchange(number_, 0);
@@ -260,9 +278,10 @@
                                      answer.rest ? *answer.length : answer.body.size())
                      : std::snprintf(fields.data(), fields.size(), "%s",
                                      chunks_ ? "Transfer-Encoding: chunked\r\n" : "");
-    if (answer.retry_after_s > 0)
+    const double retry_after_s = std::min(answer.retry_after_s, kRetryMost);
+    if (retry_after_s > 0)
         size += std::snprintf(fields.data() + size, fields.size() - static_cast<std::size_t>(size),
-                              "Retry-After: %.3f\r\n", answer.retry_after_s);
+                              "Retry-After: %.3f\r\n", retry_after_s);
     const bool typed = !answer.content_type.empty();
     const std::array<std::string_view, 8> parts{
         start_line(answer.status),
@@ -313,6 +332,7 @@
     // Closing on bytes not read would reset the connection and could take the answer with it: the peer is
     // left to end it, and what it sends meanwhile is dropped.
     if (closing_) return transport_->finish();
+    transport_->resume();
     read_next();
 }
 
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -17,6 +17,7 @@
 constexpr double kSweepEvery = 0.2;    // s
 constexpr double kMemoryPart =
     0.2;   // of the memory, for the bytes of consumers, and for those of providers
+constexpr double kMemoryMost = 1e9;        // MB; more is no machine's, and its bytes have to be countable
 constexpr double kStopSweepEvery = 0.05;   // s, while stopping
 // New connections come for some tenths of a second after the stop, and on those open more requests may.
 constexpr double kStillComing = 0.6;   // s after the stop in which idle connections are kept
@@ -46,7 +47,7 @@
 }
 
 std::size_t bytes_of(const config::Config& config) {
-    return static_cast<std::size_t>(kMemoryPart * config.memory_mb * 1024 * 1024);
+    return static_cast<std::size_t>(kMemoryPart * std::min(config.memory_mb, kMemoryMost) * 1024 * 1024);
 }
 
 }   // namespace
@@ -227,10 +228,11 @@
     if (observer_) observe(at->second, Finish::How::failed, "left");
     at->second.consumer.reset();
     const std::string id = at->second.id;
-    // What has not begun never will, whether or not the settings let calls be called off.
+    // What has not begun never will, and what has not been written whole never can be, whether or not the
+    // settings let calls be called off.
     const auto calls = at->second.calls;
     for (const auto& call : calls)
-        if (call && !call->begun()) call->abandon(Outcome::moot);
+        if (call && !call->complete()) call->abandon(Outcome::moot);
     forget_if_over(number);
     tell(slatejunction::ClientGone{id});
 }
@@ -247,50 +249,47 @@
 
 void Ingress::on_closed(consumer::Session& session) { server_.forget(session); }
 
+// Each answer may bring the session's next request at once, with all that the module then does: nothing of
+// the list of open requests is held over one. What the event tells is taken first.
 void Ingress::on_call_end(const provider::CallTag& tag, const provider::CallEnd& end) {
-    const auto at = open_.find(tag.invocation);
-    if (at == open_.end()) return;
-    Open& open = at->second;
-    open.calls[static_cast<std::size_t>(tag.attempt)].reset();
-    --open.out;
-    if (observer_) {
-        observer_->on_attempt(end.outcome);
-        if (end.quota_use > 0) observer_->on_quota_report();
-    }
-    if (end.left && open.consumer) {
-        if (observer_) observe(open, Finish::How::failed, "left");
-        open.consumer.reset();
-    }
-    if (end.outcome == Outcome::ok && open.consumer) {
-        if (observer_) observe(open, Finish::How::served, "");
-        answer(open, {200, 0, end.content_type, end.body, end.rest, end.length});
-    }
-    // Guards against a large request that is told to go on and can't: some of its bytes are gone.
-    const bool missing = open.invocation->passed && end.outcome != Outcome::ok && !end.consumers_fault;
-    if (missing && open.consumer) {
-        const bool ran = end.outcome != Outcome::connect_failed && end.outcome != Outcome::full &&
-                         end.outcome != Outcome::moot;
-        if (observer_) observe(open, Finish::How::failed, "lost");
-        answer(open, {ran ? 502 : 503, ran ? 0 : kMissingRetry, {}, {}});
-    }
-    // Guards against a provider that looks broken because a consumer sends what it can't use.
-    if (end.consumers_fault) {
-        on_bad_request(400, "a provider could not use it");
-        if (open.consumer) {
-            if (observer_) observe(open, Finish::How::failed, "turned_down");
-            answer(open, {400, 0, {}, {}});
-        }
-    }
+    Open* const open = find(tag.invocation);
+    if (!open) return;
+    open->calls[static_cast<std::size_t>(tag.attempt)].reset();
+    --open->out;
     slatejunction::AttemptEnd event;
-    event.id = open.id;
+    event.id = open->id;
     event.attempt = tag.attempt;
     event.outcome = end.consumers_fault ? Outcome::cancelled : end.outcome;
     event.took_s = end.took_s;
     event.written_s = end.written_s;
-    event.ended = !open.consumer;
     event.quota_use = end.quota_use;
     event.report = end.report;
     event.stale = end.broke && end.idle_s >= 0;
+    // Guards against a large request that is told to go on and can't: some of its bytes are gone.
+    const bool missing = open->invocation->passed && end.outcome != Outcome::ok && !end.consumers_fault;
+    if (observer_) {
+        observer_->on_attempt(end.outcome);
+        if (end.quota_use > 0) observer_->on_quota_report();
+    }
+    if (end.left && open->consumer) {
+        if (observer_) observe(*open, Finish::How::failed, "left");
+        open->consumer.reset();
+    }
+    // Guards against a provider that looks broken because a consumer sends what it can't use.
+    if (end.consumers_fault) on_bad_request(400, "a provider could not use it");
+    if (end.outcome == Outcome::ok) {
+        answer(tag.invocation, {200, 0, end.content_type, end.body, end.rest, end.length},
+               Finish::How::served, "");
+    } else if (missing) {
+        const bool ran = end.outcome != Outcome::connect_failed && end.outcome != Outcome::full &&
+                         end.outcome != Outcome::moot;
+        answer(tag.invocation, {ran ? 502 : 503, ran ? 0 : kMissingRetry, {}, {}}, Finish::How::failed,
+               "lost");
+    } else if (end.consumers_fault) {
+        answer(tag.invocation, {400, 0, {}, {}}, Finish::How::failed, "turned_down");
+    }
+    const Open* const left = find(tag.invocation);
+    event.ended = !left || !left->consumer;
     forget_if_over(tag.invocation);
     tell(std::move(event));
 }
@@ -504,7 +503,8 @@
 
 void Ingress::timers_due() {
     const double now = net::now();
-    while (!due_.empty() && due_.top().due <= now) {
+    // As many as there are now: what they set for the past waits for the loop's next round.
+    for (std::size_t left = due_.size(); left > 0 && due_.top().due <= now; --left) {
         const std::uint64_t tag = due_.top().tag;
         due_.pop();
         tell(slatejunction::TimerDue{tag});
@@ -537,6 +537,10 @@
 Ingress::Open* Ingress::find(const std::string& id) {
     std::uint64_t number = 0;
     std::from_chars(id.data(), id.data() + id.size(), number);
+    return find(number);
+}
+
+Ingress::Open* Ingress::find(std::uint64_t number) {
     const auto at = open_.find(number);
     return at == open_.end() ? nullptr : &at->second;
 }
@@ -556,7 +560,8 @@
             judges_[i]->sent(*open->invocation, open->marks[i], send.spilled);
     const double begin_by = send.begin_by_s > 0 ? send.begin_by_s : provider::Pool::kNever;
     const auto call = pool_.call(send.server, tag, open->invocation, until, begin_by);
-    if (call) open->calls[static_cast<std::size_t>(tag.attempt)] = call;
+    open = find(tag.invocation);   // the call may have ended, and the request with it
+    if (open && call) open->calls[static_cast<std::size_t>(tag.attempt)] = call;
 }
 
 void Ingress::carry_out(const slatejunction::CallOff& call_off) {
@@ -568,33 +573,35 @@
 }
 
 void Ingress::carry_out(const slatejunction::Refuse& refuse) {
-    Open* open = find(refuse.id);
-    if (open && open->consumer) {
+    Open* const open = find(refuse.id);
+    if (!open) return;
+    const std::uint64_t number = open->number;
+    if (open->consumer) {
         // A quota kept here is a limit to the module.
         auto reason = refuse.reason;
         if (reason == slatejunction::Reason::limit && open->judged > 0)
             reason = judges_[open->over]->refused(open->marks[open->over]);
-        const auto number = static_cast<std::size_t>(reason);
-        if (observer_) observe(*open, Finish::How::refused, metrics::kReasons[number], number);
-        answer(*open, {503, refuse.retry_after_s, {}, {}});
+        const auto refusal = static_cast<std::size_t>(reason);
+        answer(number, {503, refuse.retry_after_s, {}, {}}, Finish::How::refused,
+               metrics::kReasons[refusal], refusal);
     }
-    if (open) forget_if_over(open->number);
+    forget_if_over(number);
 }
 
 void Ingress::carry_out(const slatejunction::Abort& abort) {
-    Open* open = find(abort.id);
+    const Open* const open = find(abort.id);
     if (!open) return;
+    const std::uint64_t number = open->number;
     const bool late = open->invocation->due - net::now() < kNearDue;
-    if (open->consumer) {
-        if (observer_) observe(*open, Finish::How::failed, late ? "due" : "lost");
-        answer(*open, {late ? 504 : 502, 0, {}, {}});
-    }
-    forget_if_over(open->number);
+    answer(number, {late ? 504 : 502, 0, {}, {}}, Finish::How::failed, late ? "due" : "lost");
+    forget_if_over(number);
 }
 
 void Ingress::carry_out(const slatejunction::SetTimer& timer) {
-    due_.push({timer.due_s, timer.tag});
-    if (due_.top().due >= timer.due_s) module_timer_.arm(timer.due_s);
+    // One that is no number would stay at the front and keep all others from coming.
+    const double due = std::isnan(timer.due_s) ? net::now() : timer.due_s;
+    due_.push({due, timer.tag});
+    if (due_.top().due >= due) module_timer_.arm(due);
 }
 
 void Ingress::carry_out(const slatejunction::Probe& probe) {
@@ -613,7 +620,6 @@
     if (observer_ && admitted.subset == 0) observer_->on_admitted(admitted.fraction);
 }
 
-// Before the answer is given, so that what was answered has been counted even if the program is killed.
 void Ingress::observe(const Open& open, Finish::How how, std::string_view reason, std::size_t refusal) {
     Finish finish{*open.invocation,
                   how,
@@ -670,9 +676,14 @@
     return now;
 }
 
-void Ingress::answer(Open& open, const consumer::Answer& answer) {
-    const auto consumer = std::move(open.consumer);
-    open.consumer.reset();
+// Nothing of open_ may be held over it. It is counted before it is given, so that what was answered has
+// been counted even if the program is killed.
+void Ingress::answer(std::uint64_t number, const consumer::Answer& answer, Finish::How how,
+                     std::string_view reason, std::size_t refusal) {
+    Open* const open = find(number);
+    if (!open || !open->consumer) return;
+    if (observer_) observe(*open, how, reason, refusal);
+    const auto consumer = std::exchange(open->consumer, nullptr);
     consumer->answer(answer);
 }
 
