--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -9,6 +9,7 @@
 
 namespace slatejunction::ingress {
 
+using operations::Shutdown;
 using slatejunction::Outcome;
 
 namespace {
@@ -17,13 +18,7 @@
 constexpr double kSweepEvery = 0.2;    // s
 constexpr double kMemoryPart =
     0.2;   // of the memory, for the bytes of consumers, and for those of providers
-constexpr double kStopSweepEvery = 0.05;   // s, while stopping
-// New connections come for some tenths of a second after the stop, and on those open more requests may.
-constexpr double kStillComing = 0.6;   // s after the stop in which idle connections are kept
-constexpr double kQuiet = 0.15;        // s without use before one ends after that
-// A process that has handed over keeps idle consumers for longer: whoever asks once more is told to go by
-// the answer, and no close crosses a request.
-constexpr double kHandedStillComing = 1.2, kHandedQuiet = 0.5;   // s
+constexpr double kMemoryMost = 1e9;       // MB; more is no machine's, and its bytes have to be countable
 constexpr double kHandedIdle = 0.3;       // s; how long it keeps idle connections to providers
 constexpr std::size_t kHandedCalls = 4;   // connections to providers that it may open still
 constexpr std::size_t kHeirPart = 4;      // of the connections, what a new process finds at least
@@ -46,7 +41,7 @@
 }
 
 std::size_t bytes_of(const config::Config& config) {
-    return static_cast<std::size_t>(kMemoryPart * config.memory_mb * 1024 * 1024);
+    return static_cast<std::size_t>(kMemoryPart * std::min(config.memory_mb, kMemoryMost) * 1024 * 1024);
 }
 
 }   // namespace
@@ -76,6 +71,7 @@
       gateway_(config_.settings, config_.seed),
       pool_(*this, timers_, limits_of(config_), provider_bytes_, config_.settings.report_fields),
       server_(*this, timers_, consumers_of(config_)),
+      shutdown_(operations::longest_deadline_s(config_.settings)),
       handover_(*this, timers_, log_, config_.temporary, config_.name, config_.listen),
       prepare_timer_(timers_, [this] { handover_.prepared(); }),
       watch_(std::make_shared<WatchLink>(static_cast<directory::WatchHost&>(*this), timers_, clock,
@@ -127,12 +123,13 @@
 }
 
 void Ingress::stop() {
-    if (stopping_) return;
-    stopping_ = true;
-    stopped_at_ = net::now();
+    if (shutdown_.told()) return;
+    const double now = net::now();
+    shutdown_.tell(now);
     handover_.stop();
-    sweep_timer_.arm(stopped_at_ + kStopSweepEvery);
-    log_.write(Log::Level::info, stopped_at_, "stopping: %zu invocations open", open_.size());
+    sweep_timer_.arm(shutdown_.advance_again_at(now));
+    log_.write(Log::Level::info, now, "stopping: %zu invocations open, ends within %.1f s", open_.size(),
+               shutdown_.ends_by() - now);
 }
 
 void Ingress::reload(const config::Config& fresh) {
@@ -167,32 +164,77 @@
     pool_.sweep(now);
     if (admin_) admin_->sweep(now);
     const bool drained = operations_.drained();
-    if (drained && now - drained_at_ > kStillComing) server_.end_idle(now, kQuiet);
-    const bool leaves = handover_.role().leaves();
-    if (leaves && now - given_at_ > kHandedStillComing) server_.end_idle(now, kHandedQuiet);
-    const bool stops = stopping_ && now - stopped_at_ > kStillComing;
-    if (stops) server_.end_idle(now, kQuiet);
-    if (stops || (leaves && now - given_at_ > kStillComing)) {
-        if (server_.sessions() == 0 && (leaves || now - server_.last_taken() > kQuiet)) {
-            server_.stop();
-            log_.write(Log::Level::info, now, "stopped");
-            return done_();
+    if (drained && now - drained_at_ > Shutdown::kStillComingS) server_.end_idle(now, Shutdown::kQuietS);
+    if (shutdown_.leaves()) {
+        if (wind_down(now)) return;
+        return sweep_timer_.arm(shutdown_.advance_again_at(now));
+    }
+    sweep_timer_.arm(now + (drained ? Shutdown::kLookEveryS : kSweepEvery));
+}
+
+bool Ingress::wind_down(double now) {
+    if (const auto most_s = shutdown_.idle_most_s(now)) server_.end_idle(now, *most_s);
+    for (;;) {
+        const auto census = server_.census();
+        switch (shutdown_.advance({now, handover_.role().leaves(), server_.sessions(), census.in_use,
+                                   last_request_at_, census.last_unknown_at})) {
+            case Shutdown::Act::none:
+                return false;
+            case Shutdown::Act::refuse_new:
+                if (!handover_.role().paired()) server_.refuse_new();
+                break;
+            case Shutdown::Act::stop_listening:
+                server_.take_waiting_and_stop();
+                break;
+            case Shutdown::Act::answer_owed:
+                answer_owed();
+                break;
+            case Shutdown::Act::end:
+                server_.stop();
+                server_.end_all();
+                log_.write(Log::Level::info, now, "stopped");
+                done_();
+                return true;
         }
     }
-    sweep_timer_.arm(now + (stopping_ || leaves || drained ? kStopSweepEvery : kSweepEvery));
+}
+
+// Each by the way of every answer, so that it gets this one and no other.
+void Ingress::answer_owed() {
+    std::vector<std::uint64_t> owed;
+    for (const auto& [number, open] : open_)
+        if (open.consumer) owed.push_back(number);
+    log_.write(Log::Level::warning, net::now(),
+               "stopping: the time is up: %zu requests are answered unfinished, %zu connections open",
+               owed.size(), server_.sessions());
+    for (const std::uint64_t number : owed) {
+        const auto at = open_.find(number);
+        if (at == open_.end() || !at->second.consumer) continue;
+        const Open& open = at->second;
+        const bool sent_on =
+            open.ran || std::any_of(open.calls.begin(), open.calls.end(),
+                                    [](const auto& call) { return call && call->complete(); });
+        const int status = operations::forced_status(sent_on);
+        answer(number, {status, sent_on ? 0 : config_.settings.max_retry_after_s, {}, {}},
+               Finish::How::failed, "stopped");
+        let_go(number);
+    }
+    server_.turn_away(config_.settings.max_retry_after_s);
 }
 
 // Facts. ----------------------------------------------------------------------------------------------
 
 std::uint64_t Ingress::on_invocation(std::shared_ptr<consumer::Consumer> consumer,
                                      std::shared_ptr<consumer::Invocation> invocation) {
-    if (config_.max_open > 0 && open_.size() >= config_.max_open) {
+    last_request_at_ = invocation->arrived;
+    const bool stopped = shutdown_.turns_away();
+    if (stopped || (config_.max_open > 0 && open_.size() >= config_.max_open)) {
         consumer->answer({503, config_.settings.max_retry_after_s, {}, {}});
         if (observer_)
             observer_->on_finish({*invocation,
-                                  Finish::How::refused,
-                                  metrics::kReasons[metrics::kOpenLimit],
-                                  metrics::kOpenLimit,
+                                  stopped ? Finish::How::failed : Finish::How::refused,
+                                  stopped ? "stopped" : metrics::kReasons[metrics::kOpenLimit],
+                                  stopped ? 0 : metrics::kOpenLimit,
                                   {},
                                   0,
                                   net::now() - invocation->arrived});
@@ -226,11 +268,18 @@
     if (at == open_.end() || !at->second.consumer) return;
     if (observer_) observe(at->second, Finish::How::failed, "left");
     at->second.consumer.reset();
+    let_go(number);
+}
+
+void Ingress::let_go(std::uint64_t number) {
+    const auto at = open_.find(number);
+    if (at == open_.end()) return;
     const std::string id = at->second.id;
-    // What has not begun never will, whether or not the settings let calls be called off.
+    // What has not begun never will, and what has not been written whole never can be, whether or not the
+    // settings let calls be called off.
     const auto calls = at->second.calls;
     for (const auto& call : calls)
-        if (call && !call->begun()) call->abandon(Outcome::moot);
+        if (call && !call->complete()) call->abandon(Outcome::moot);
     forget_if_over(number);
     tell(slatejunction::ClientGone{id});
 }
@@ -247,50 +296,48 @@
 
 void Ingress::on_closed(consumer::Session& session) { server_.forget(session); }
 
+// Each answer may bring the session's next request at once, with all that the module then does: nothing of
+// the list of open requests is held over one. What the event tells is taken first.
 void Ingress::on_call_end(const provider::CallTag& tag, const provider::CallEnd& end) {
-    const auto at = open_.find(tag.invocation);
-    if (at == open_.end()) return;
-    Open& open = at->second;
-    open.calls[static_cast<std::size_t>(tag.attempt)].reset();
-    --open.out;
-    if (observer_) {
-        observer_->on_attempt(end.outcome);
-        if (end.quota_use > 0) observer_->on_quota_report();
-    }
-    if (end.left && open.consumer) {
-        if (observer_) observe(open, Finish::How::failed, "left");
-        open.consumer.reset();
-    }
-    if (end.outcome == Outcome::ok && open.consumer) {
-        if (observer_) observe(open, Finish::How::served, "");
-        answer(open, {200, 0, end.content_type, end.body, end.rest, end.length});
-    }
-    // Guards against a large request that is told to go on and can't: some of its bytes are gone.
-    const bool missing = open.invocation->passed && end.outcome != Outcome::ok && !end.consumers_fault;
-    if (missing && open.consumer) {
-        const bool ran = end.outcome != Outcome::connect_failed && end.outcome != Outcome::full &&
-                         end.outcome != Outcome::moot;
-        if (observer_) observe(open, Finish::How::failed, "lost");
-        answer(open, {ran ? 502 : 503, ran ? 0 : kMissingRetry, {}, {}});
-    }
-    // Guards against a provider that looks broken because a consumer sends what it can't use.
-    if (end.consumers_fault) {
-        on_bad_request(400, "a provider could not use it");
-        if (open.consumer) {
-            if (observer_) observe(open, Finish::How::failed, "turned_down");
-            answer(open, {400, 0, {}, {}});
-        }
-    }
+    Open* const open = find(tag.invocation);
+    if (!open) return;
+    open->calls[static_cast<std::size_t>(tag.attempt)].reset();
+    --open->out;
+    const bool ran = end.outcome != Outcome::connect_failed && end.outcome != Outcome::full &&
+                     end.outcome != Outcome::moot;
+    open->ran = open->ran || ran;
     slatejunction::AttemptEnd event;
-    event.id = open.id;
+    event.id = open->id;
     event.attempt = tag.attempt;
     event.outcome = end.consumers_fault ? Outcome::cancelled : end.outcome;
     event.took_s = end.took_s;
     event.written_s = end.written_s;
-    event.ended = !open.consumer;
     event.quota_use = end.quota_use;
     event.report = end.report;
     event.stale = end.broke && end.idle_s >= 0;
+    // Guards against a large request that is told to go on and can't: some of its bytes are gone.
+    const bool missing = open->invocation->passed && end.outcome != Outcome::ok && !end.consumers_fault;
+    if (observer_) {
+        observer_->on_attempt(end.outcome);
+        if (end.quota_use > 0) observer_->on_quota_report();
+    }
+    if (end.left && open->consumer) {
+        if (observer_) observe(*open, Finish::How::failed, "left");
+        open->consumer.reset();
+    }
+    // Guards against a provider that looks broken because a consumer sends what it can't use.
+    if (end.consumers_fault) on_bad_request(400, "a provider could not use it");
+    if (end.outcome == Outcome::ok) {
+        answer(tag.invocation, {200, 0, end.content_type, end.body, end.rest, end.length},
+               Finish::How::served, "");
+    } else if (missing) {
+        answer(tag.invocation, {ran ? 502 : 503, ran ? 0 : kMissingRetry, {}, {}}, Finish::How::failed,
+               "lost");
+    } else if (end.consumers_fault) {
+        answer(tag.invocation, {400, 0, {}, {}}, Finish::How::failed, "turned_down");
+    }
+    const Open* const left = find(tag.invocation);
+    event.ended = !left || !left->consumer;
     forget_if_over(tag.invocation);
     tell(std::move(event));
 }
@@ -367,7 +414,7 @@
 
 admin::Reply Ingress::ready_call() const {
     if (handover_.role().leaves()) return {503, "handed over to a new process"};
-    if (stopping_) return {503, "stopping"};
+    if (shutdown_.told()) return {503, "stopping"};
     if (!handover_.role().accepts()) return {503, "taking over"};
     return {200, operations_.drained() ? "ready, and drained" : "ready"};
 }
@@ -393,7 +440,7 @@
             text = "drained";
             if (!operations_.drain()) break;
             drained_at_ = now;
-            sweep_timer_.arm(now + kStopSweepEvery);
+            sweep_timer_.arm(now + Shutdown::kLookEveryS);
             break;
         case What::activate:
             text = "active";
@@ -430,12 +477,14 @@
 void Ingress::on_role() {
     const handover::Role& role = handover_.role();
     if (role.leaves()) {
-        given_at_ = net::now();
+        const double now = net::now();
+        shutdown_.hand_over(now);
         server_.hold();
-        sweep_timer_.arm(given_at_ + kStopSweepEvery);
+        sweep_timer_.arm(shutdown_.advance_again_at(now));
         for (std::size_t i = 0; i < inheritors_.size(); ++i)
             if (const std::string what = inheritors_[i]->give(); !what.empty()) handover_.give(i, what);
     } else if (role.accepts()) {
+        shutdown_.take_back();
         server_.go_on();
     }
     pool_.set_idle_most(role.leaves() ? kHandedIdle : -1);
@@ -538,6 +587,10 @@
 Ingress::Open* Ingress::find(const std::string& id) {
     std::uint64_t number = 0;
     std::from_chars(id.data(), id.data() + id.size(), number);
+    return find(number);
+}
+
+Ingress::Open* Ingress::find(std::uint64_t number) {
     const auto at = open_.find(number);
     return at == open_.end() ? nullptr : &at->second;
 }
@@ -557,7 +610,8 @@
             judges_[i]->sent(*open->invocation, open->marks[i], send.spilled);
     const double begin_by = send.begin_by_s > 0 ? send.begin_by_s : provider::Pool::kNever;
     const auto call = pool_.call(send.server, tag, open->invocation, until, begin_by);
-    if (call) open->calls[static_cast<std::size_t>(tag.attempt)] = call;
+    open = find(tag.invocation);   // the call may have ended, and the request with it
+    if (open && call) open->calls[static_cast<std::size_t>(tag.attempt)] = call;
 }
 
 void Ingress::carry_out(const slatejunction::CallOff& call_off) {
@@ -569,28 +623,28 @@
 }
 
 void Ingress::carry_out(const slatejunction::Refuse& refuse) {
-    Open* open = find(refuse.id);
-    if (open && open->consumer) {
+    Open* const open = find(refuse.id);
+    if (!open) return;
+    const std::uint64_t number = open->number;
+    if (open->consumer) {
         // A quota kept here is a limit to the module.
         auto reason = refuse.reason;
         if (reason == slatejunction::Reason::limit && open->judged > 0)
             reason = judges_[open->over]->refused(open->marks[open->over]);
-        const auto number = static_cast<std::size_t>(reason);
-        if (observer_) observe(*open, Finish::How::refused, metrics::kReasons[number], number);
-        answer(*open, {503, refuse.retry_after_s, {}, {}});
+        const auto refusal = static_cast<std::size_t>(reason);
+        answer(number, {503, refuse.retry_after_s, {}, {}}, Finish::How::refused,
+               metrics::kReasons[refusal], refusal);
     }
-    if (open) forget_if_over(open->number);
+    forget_if_over(number);
 }
 
 void Ingress::carry_out(const slatejunction::Abort& abort) {
-    Open* open = find(abort.id);
+    const Open* const open = find(abort.id);
     if (!open) return;
+    const std::uint64_t number = open->number;
     const bool late = open->invocation->due - net::now() < kNearDue;
-    if (open->consumer) {
-        if (observer_) observe(*open, Finish::How::failed, late ? "due" : "lost");
-        answer(*open, {late ? 504 : 502, 0, {}, {}});
-    }
-    forget_if_over(open->number);
+    answer(number, {late ? 504 : 502, 0, {}, {}}, Finish::How::failed, late ? "due" : "lost");
+    forget_if_over(number);
 }
 
 void Ingress::carry_out(const slatejunction::SetTimer& timer) {
@@ -616,7 +670,6 @@
     if (observer_ && admitted.subset == 0) observer_->on_admitted(admitted.fraction);
 }
 
-// Before the answer is given, so that what was answered has been counted even if the program is killed.
 void Ingress::observe(const Open& open, Finish::How how, std::string_view reason, std::size_t refusal) {
     Finish finish{*open.invocation,
                   how,
@@ -673,9 +726,14 @@
     return now;
 }
 
-void Ingress::answer(Open& open, const consumer::Answer& answer) {
-    const auto consumer = std::move(open.consumer);
-    open.consumer.reset();
+// Nothing of open_ may be held over it. It is counted before it is given, so that what was answered has
+// been counted even if the program is killed.
+void Ingress::answer(std::uint64_t number, const consumer::Answer& answer, Finish::How how,
+                     std::string_view reason, std::size_t refusal) {
+    Open* const open = find(number);
+    if (!open || !open->consumer) return;
+    if (observer_) observe(*open, how, reason, refusal);
+    const auto consumer = std::exchange(open->consumer, nullptr);
     consumer->answer(answer);
 }
 
