--- a/src/app/program.cpp
+++ b/src/app/program.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstring>
+#include <filesystem>
 #include <memory>
 #include <stdexcept>
 #include <vector>
@@ -15,6 +16,7 @@
 #include "app/draw.hpp"
 #include "app/fleet_part.hpp"
 #include "app/limits_part.hpp"
+#include "app/process.hpp"
 #include "app/quota_part.hpp"
 #include "app/rules_part.hpp"
 #include "config/config.hpp"
@@ -27,7 +29,8 @@
 namespace slatejunction::app {
 namespace {
 
-constexpr double kLastLines = 0.5;   // s; at the end, for a log reader that is slow
+constexpr std::size_t kWarningsMost = 8;   // of the configuration, in the log
+constexpr double kLastLines = 0.5;         // s; at the end, for a log reader that is slow
 // s; of the time that is left for the end, what is kept for the log's last lines
 constexpr double kLastLinesLeast = 0.03;
 
@@ -80,6 +83,16 @@
     }
 };
 
+// Not more lines than leave room for what the start has to say beside them.
+void tell_warnings(const config::Config& config, Log& log) {
+    const std::size_t told = std::min(kWarningsMost, config.warnings.size());
+    for (std::size_t i = 0; i < told; ++i)
+        log.write(Log::Level::warning, net::now(), "%s", config.warnings[i].c_str());
+    if (told < config.warnings.size())
+        log.write(Log::Level::warning, net::now(), "%zu warnings more of the configuration: check-config",
+                  config.warnings.size() - told);
+}
+
 class TelemetryPart final : public Part {
   public:
     TelemetryPart(telemetry::Telemetry& telemetry, ingress::Ingress& ingress)
@@ -113,6 +126,7 @@
     void stop_parts();
     void leave_parts();
     void reload();
+    bool reload_options(operating::Options& fresh);
     void take(const operating::Options& fresh);
     void on_signal(int fd);
 
@@ -134,6 +148,7 @@
 void Program::make(operating::Options& options) {
     auto config = config::load(files_.config, clock_);
     config::hold_descriptors(config);
+    tell_warnings(config, *log_);
     const Promised promised(files_, options, config);
     if (options.quota.on()) config.settings = quota::without_quotas(config.settings);
     if (options.collects() || options.log.requests != 0)
@@ -199,14 +214,8 @@
 void Program::reload() {
     const double now = net::now();
     operating::Options fresh;
-    bool good = true;
-    if (!files_.options.empty())
-        for (const std::string& fault : operating::load(files_.options, fresh)) {
-            log_->write(Log::Level::error, now, "reload refused, nothing changes: %s", fault.c_str());
-            good = false;
-        }
-    if (!good) return;
     try {
+        if (!reload_options(fresh)) return;
         auto config = config::load(files_.config, clock_, config::Moment::reload);
         for (const auto& part : parts_) part->prepare(fresh, config);
         if (!files_.options.empty()) take(fresh);
@@ -216,6 +225,18 @@
     }
 }
 
+// False where it has faults. Guards against one that is a pipe by now, whose writer may never come.
+bool Program::reload_options(operating::Options& fresh) {
+    if (files_.options.empty()) return true;
+    std::error_code fault;
+    if (std::filesystem::is_fifo(files_.options, fault))
+        throw std::runtime_error(files_.options + ": is a pipe, which can't be read again");
+    const auto faults = operating::load(files_.options, fresh);
+    for (const std::string& one : faults)
+        log_->write(Log::Level::error, net::now(), "reload refused, nothing changes: %s", one.c_str());
+    return faults.empty();
+}
+
 void Program::take(const operating::Options& fresh) {
     if (!telemetry_) {
         log_->configure(fresh.log);
@@ -256,6 +277,15 @@
         stop();
 }
 
+// Before the loop runs: false where SIGTERM or SIGINT came. SIGHUP stays for the loop.
+bool pause_unless_told(double seconds) {
+    sigset_t numbers;
+    sigemptyset(&numbers);
+    for (const int number : {SIGTERM, SIGINT}) sigaddset(&numbers, number);
+    const timespec most{0, static_cast<long>(seconds * 1e9)};   // under a second
+    return sigtimedwait(&numbers, nullptr, &most) < 0;
+}
+
 int Program::run() {
     operating::Options options;
     if (!load_options(files_.options, options)) return kBadUse;
@@ -265,7 +295,7 @@
     if (!signals) return fail("no descriptor for signals: " + std::string(std::strerror(errno)));
     const net::Watch watch(timers_, signals.get(), [this, fd = signals.get()] { on_signal(fd); });
     std::string why;
-    if (!ingress_->start(why)) return fail(why);
+    if (!ingress_->start(why, pause_unless_told)) return why.empty() ? 0 : fail(why);
     for (std::size_t i = parts_.size(); i-- > 0;) parts_[i]->start();
     g_main_loop_run(loop_.get());
     log_->flush(std::min(kLastLines, std::max(0.0, ends_by_ - net::now())));
@@ -287,6 +317,7 @@
     for (const int number : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&numbers, number);
     sigprocmask(SIG_BLOCK, &numbers, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
+    open_standard_streams();
     return Program(files, numbers).run();
 }
 
@@ -295,6 +326,7 @@
     bool good = load_options(files.options, options);
     try {
         const auto read = config::load(files.config, directory::UnixClock());
+        for (const std::string& line : read.warnings) std::printf("warning: %s\n", line.c_str());
         if (good) {
             const Promised promised(files, options, read);
             for (const std::string& line : promised.lines) std::printf("%s\n", line.c_str());
