Start a process with 5 descriptors without those that the test inherited

Change: the case's shell closes them first; the limit and what is asked are as before. Measured: with 3 and 4 open at the test it fails without the change and passes with it.

--- a/tests/start/streams_test.cpp
+++ b/tests/start/streams_test.cpp
@@ -99,7 +99,8 @@
         REQUIRE(start.says("error: the limit on open files is under 64"));
     }
     SECTION("a low limit that may be raised") {
-        start.run("ulimit -Sn 5; exec \"$0\"");
+        // Without what the test itself has inherited: the loader needs 3 and 4.
+        start.run("exec 3>&- 4>&-; ulimit -Sn 5; exec \"$0\"");
         REQUIRE(start.ready());
         start.process.signal(SIGTERM);
         REQUIRE(start.status() == 0);
