--- a/tests/rollout/cases_test.cpp
+++ b/tests/rollout/cases_test.cpp
@@ -172,6 +172,37 @@
     CHECK(fleet.breach() == "");
 }
 
+TEST_CASE("a refused change is not cleared while its revert can't be committed", "[rollout]") {
+    Fleet fleet(quiet(9));
+    fleet.put("a", "good");
+    fleet.run_for(6);
+    const std::string canary = fleet.fleet("c0").canaries.at(0).name;
+    fleet.also_check = [&](const std::string& name, const State& state) {
+        return std::string(name == canary && state.contains("b") ? "no room for b" : "");
+    };
+    const std::uint64_t bad = fleet.put("b", "1");
+    fleet.run_for(0.1);
+    REQUIRE(fleet.source("c0").committed() == bad);
+    fleet.set_filter([bad](const std::string& from, const std::string& to, Message& message) {
+        auto* append = std::get_if<Append>(&message);
+        if (append && from != to)
+            std::erase_if(append->records, [bad](const Record& one) { return one.number > bad; });
+        return false;
+    });
+    fleet.run_for(10);
+    REQUIRE(fleet.source("c0").log().reverted_by(bad) == bad + 1);
+    REQUIRE(fleet.source("c0").committed() == bad);
+    CHECK(fleet.source("c0").staging().cleared == bad - 1);
+    fleet.set_filter({});
+    fleet.run_for(kBound);
+    std::set<std::string> took;
+    for (const Fact& one : fleet.history())
+        if (one.what == Fact::What::in_force && one.state.contains("b")) took.insert(one.node);
+    CHECK(took.size() <= 1);   // the other canary
+    CHECK(fleet.source("c0").staging().cleared == bad + 1);
+    CHECK(fleet.breach() == "");
+}
+
 TEST_CASE("no canary reports: what is committed is cleared after canary_wait_s", "[rollout]") {
     Plan plan = quiet(2);
     plan.canaries = 0;
--- a/tests/rollout/rollout_test.cpp
+++ b/tests/rollout/rollout_test.cpp
@@ -265,6 +265,31 @@
     CHECK(follower.tally().moves == 0);
 }
 
+TEST_CASE("a replica keeps what it has acknowledged, whatever snapshot comes late", "[rollout]") {
+    struct ReplicaDisk : ReplicaHome {
+        bool keep_promise(std::uint64_t, bool) override { return true; }
+        bool append(const std::vector<Record>&) override { return true; }
+        bool truncate(std::uint64_t) override { return true; }
+        bool replace(const Log&, std::uint64_t) override { return ++replaced, true; }
+        void note_committed(std::uint64_t) override {}
+        int replaced = 0;
+    } disk;
+    const Log log = log_of(12);
+    Replica replica({}, 1, {true, 1, 8, log}, disk);
+    const Snapshot snapshot(log.version(10), 1, log.state_at(10));   // committed, which it was not told of
+    for (std::uint32_t i = 0; i < snapshot.parts(); ++i) replica.receive(1, "c0", snapshot.part(i, {}));
+    CHECK(replica.log().last() == log.last());
+    CHECK(replica.log().base().number == 0);
+    CHECK(disk.replaced == 0);
+    // One that goes beyond what it has is taken.
+    const Log more = log_of(20);
+    const Snapshot newer(more.version(20), 1, more.state_at(20));
+    for (std::uint32_t i = 0; i < newer.parts(); ++i) replica.receive(2, "c0", newer.part(i, {}));
+    CHECK(replica.log().last() == more.last());
+    CHECK(replica.committed() == 20);
+    CHECK(disk.replaced == 1);
+}
+
 TEST_CASE("a feeder encodes a batch once for all children at one version", "[rollout]") {
     Log log;
     Feeder feeder({}, log);
