Fill a message with a log's records in one place; one name for what a log keeps

The loop that fills a message with as many records as it holds stood in replica, source and feeder, the term of a number in two of them, the 50,000 records and 16 MB that a log keeps in two constants, and two fleet tests read the environment each by a function of its own. Change: rollout/batch.hpp, Log::term(), kRecordsKept and kBytesKept for a relay too, rig::setting(). Behaviour is as it was.

--- a/src/rollout/feeder.cpp
+++ b/src/rollout/feeder.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <tuple>
 
+#include "rollout/batch.hpp"
+
 namespace slatejunction::rollout {
 namespace {
 
@@ -121,15 +123,8 @@
     while (at < end && bytes < settings_.window_bytes) {
         Offer offer = idle(most);
         offer.previous = log_.version(at);
-        std::size_t room = kRecordsRoom;
-        while (at < end) {
-            const Record& next = log_.record(at + 1);
-            const std::size_t size = encoded_size(next);
-            if (size > room) break;
-            room -= size;
-            offer.records.push_back(next);
-            ++at;
-        }
+        offer.records = batch(log_, at, end);
+        at += offer.records.size();
         offer.more = at < end && bytes + kBodyAbout >= settings_.window_bytes;
         bodies.push_back(body_of(offer));
         bytes += kBodyAbout;
--- a/src/rollout/log.hpp
+++ b/src/rollout/log.hpp
@@ -27,7 +27,10 @@
     bool knows(std::uint64_t number) const { return number >= base_.number && number <= last().number; }
     Version version(std::uint64_t number) const;        // wants knows(number)
     const Record& record(std::uint64_t number) const;   // wants number > base().number, knows(number)
-    bool holds(const Version& version) const {          // this very version
+    std::uint64_t term(std::uint64_t number) const {    // of that record; wants knows(number)
+        return number > base_.number ? record(number).term : base_term_;
+    }
+    bool holds(const Version& version) const {   // this very version
         return knows(version.number) && this->version(version.number) == version;
     }
 
--- a/src/rollout/replica.cpp
+++ b/src/rollout/replica.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "rollout/batch.hpp"
+
 namespace slatejunction::rollout {
 namespace {
 
@@ -56,24 +58,14 @@
     if (message.term != promised_) return;
     if (message.after < log_.base().number) {
         if (!given_ || !log_.knows(given_->version().number))
-            given_.emplace(
-                log_.version(committed_),
-                committed_ > log_.base().number ? log_.record(committed_).term : log_.base_term(),
-                log_.state_at(committed_));
+            given_.emplace(log_.version(committed_), log_.term(committed_), log_.state_at(committed_));
         return post(from, given_->part(0, staging_));
     }
     std::uint64_t at = std::min(message.after, log_.last().number);
     for (std::size_t sent = 0; sent < kFetchedMost; ++sent) {
         Fetched fetched{message.term, log_.version(at), {}, false};
-        std::size_t room = kRecordsRoom;
-        while (at < log_.last().number) {
-            const Record& next = log_.record(at + 1);
-            const std::size_t size = encoded_size(next);
-            if (size > room) break;
-            room -= size;
-            fetched.records.push_back(next);
-            ++at;
-        }
+        fetched.records = batch(log_, at, log_.last().number);
+        at += fetched.records.size();
         fetched.end = at == log_.last().number || sent + 1 == kFetchedMost;
         post(from, fetched);
         if (fetched.end) return;
--- a/src/rollout/settings.cpp
+++ b/src/rollout/settings.cpp
@@ -8,15 +8,14 @@
 #include "net/stream.hpp"
 #include "peers/bound.hpp"
 #include "peers/settings.hpp"
+#include "rollout/replica.hpp"
 
 namespace slatejunction::rollout {
 namespace {
 
 constexpr std::size_t kRegionMost = 64;   // bytes
 constexpr std::size_t kParentsMost = 64;
-constexpr double kCanaryMost = 4;               // s; in_force_within_s() stays below kInForceMost
-constexpr std::size_t kRelayRecords = 50'000;   // that a relay keeps for its children
-constexpr std::size_t kRelayBytes = 16'000'000;
+constexpr double kCanaryMost = 4;     // s; in_force_within_s() stays below kInForceMost
 constexpr double kRoundTrip = 0.02;   // s, between control machines, as other bounds state it
 
 constexpr bool canaries_fit() {
@@ -103,8 +102,8 @@
     made.region = options.region;
     for (const ParentAddress& one : parents_of(options)) made.parents.push_back(one.parent);
     if (options.feeds()) {
-        made.records_kept = kRelayRecords;
-        made.bytes_kept = kRelayBytes;
+        made.records_kept = kRecordsKept;   // for its children, as a control machine does
+        made.bytes_kept = kBytesKept;
     }
     return made;
 }
--- a/src/rollout/source.cpp
+++ b/src/rollout/source.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "rollout/batch.hpp"
+
 namespace slatejunction::rollout {
 namespace {
 
@@ -254,15 +256,8 @@
     while (first || (!peer.probing && at < last && at < peer.matched + kInFlight)) {
         first = false;
         Append message{term_, log_.version(at), {}, committed_, staging_, false};
-        std::size_t room = kRecordsRoom;
-        while (!peer.probing && at < last) {
-            const Record& next = log_.record(at + 1);
-            const std::size_t size = encoded_size(next);
-            if (size > room) break;
-            room -= size;
-            message.records.push_back(next);
-            ++at;
-        }
+        if (!peer.probing) message.records = batch(log_, at, last);
+        at += message.records.size();
         message.admit = peer.admitting && at == last;
         post(name, message);
     }
@@ -271,9 +266,7 @@
 
 void Source::give_snapshot(const std::string& name) {
     if (!given_ || given_->version().number < log_.base().number)
-        given_.emplace(log_.version(committed_),
-                       committed_ > log_.base().number ? log_.record(committed_).term : log_.base_term(),
-                       log_.state_at(committed_));
+        given_.emplace(log_.version(committed_), log_.term(committed_), log_.state_at(committed_));
     post(name, given_->part(0, staging_));
     // Is answered as one that matches once the snapshot is taken.
     post(name, Append{term_, given_->version(), {}, committed_, staging_, false});
--- a/tests/fleet/rig.hpp
+++ b/tests/fleet/rig.hpp
@@ -7,7 +7,9 @@
 #include <rapidjson/document.h>
 #include <sys/file.h>
 
+#include <cstdint>
 #include <cstdio>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -24,6 +26,12 @@
 
 namespace rig {
 
+// Of the environment, as a whole number: how much of a test is run, and with which seed.
+inline std::uint64_t setting(const char* name, std::uint64_t otherwise) {
+    const char* const text = std::getenv(name);
+    return text ? std::strtoull(text, nullptr, 10) : otherwise;
+}
+
 struct Plan {
     std::size_t ingresses = 3, sites = 3, voters = 3;
     std::size_t providers = 0;   // a site; 0: none, and no directory
--- a/tests/fleet/rollout_test.cpp
+++ b/tests/fleet/rollout_test.cpp
@@ -393,17 +393,12 @@
     return out;
 }
 
-std::uint64_t setting(const char* name, std::uint64_t otherwise) {
-    const char* const text = std::getenv(name);
-    return text ? std::strtoull(text, nullptr, 10) : otherwise;
-}
-
 }   // namespace
 
 TEST_CASE("seeded schedules of faults: whole versions that never go back, the bound kept after them",
           "[rollout_schedule]") {
-    const std::uint64_t first = setting("ROLLOUT_SEED", 1), count = setting("ROLLOUT_COUNT", 2);
-    const auto seconds = static_cast<double>(setting("ROLLOUT_SECONDS", 8));
+    const std::uint64_t first = rig::setting("ROLLOUT_SEED", 1), count = rig::setting("ROLLOUT_COUNT", 2);
+    const auto seconds = static_cast<double>(rig::setting("ROLLOUT_SECONDS", 8));
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
         const Outcome out = play(seed, seconds);
         INFO("seed " << seed << "; again: ROLLOUT_SEED=" << seed
--- a/tests/fleet/schedule_test.cpp
+++ b/tests/fleet/schedule_test.cpp
@@ -134,16 +134,11 @@
     return out;
 }
 
-std::uint64_t number_of(const char* name, std::uint64_t otherwise) {
-    const char* const text = std::getenv(name);
-    return text ? std::strtoull(text, nullptr, 10) : otherwise;
-}
-
 }   // namespace
 
 TEST_CASE("seeded schedules of faults: two never act at once", "[schedule]") {
-    const std::uint64_t first = number_of("FLEET_SEED", 1), count = number_of("FLEET_COUNT", 6);
-    const auto seconds = static_cast<double>(number_of("FLEET_SECONDS", 5));
+    const std::uint64_t first = rig::setting("FLEET_SEED", 1), count = rig::setting("FLEET_COUNT", 6);
+    const auto seconds = static_cast<double>(rig::setting("FLEET_SECONDS", 5));
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
         const Outcome out = play(seed, seconds);
         INFO("seed " << seed << "; again: FLEET_SEED=" << seed
