--- a/standins/directory.cpp
+++ b/standins/directory.cpp
@@ -9,12 +9,21 @@
 
 namespace standin {
 
+namespace {
+
+std::int64_t unix_ms() {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+}   // namespace
+
 Directory::Directory(slatejunction::net::Timers& timers, std::string listen, std::vector<Member> members)
     : listen_(std::move(listen)),
       members_(std::move(members)),
       server_(timers, [this](const auto& client, Request& request) { on_request(client, request); }) {}
 
-std::string Directory::list(bool complete) const {
+std::string Directory::list(bool complete, int since) const {
     rapidjson::StringBuffer text;
     rapidjson::Writer json(text);
     json.StartObject();
@@ -23,12 +32,13 @@
     json.Key("members");
     json.StartArray();
     for (const Member& one : members_) {
+        if (complete ? one.phase == "Gone" : one.changed <= since) continue;
         json.StartObject();
         json.Key("id"), json.String(one.id.c_str());
         json.Key("host_port"), json.String(one.host_port.c_str());
         json.Key("locality"), json.String("a");
         json.Key("flavor"), json.String(one.flavor.c_str());
-        json.Key("cell"), json.Int(1);
+        json.Key("cell"), json.Int(one.cell);
         json.Key("phase"), json.String(one.phase.c_str());
         json.Key("size"), json.Double(1);
         json.Key("up_since_ms"), json.Int64(one.up_since_ms);
@@ -39,45 +49,70 @@
     return text.GetString();
 }
 
+std::string Directory::whole() const { return list(true, 0); }
+std::string Directory::changes(int since) const { return list(false, since); }
+
 bool Directory::set(const std::string& id, const std::string& phase) {
     const auto at =
         std::find_if(members_.begin(), members_.end(), [&](const auto& one) { return one.id == id; });
-    if (at == members_.end()) return false;
+    if (at == members_.end() || at->phase == "Gone") return false;
     at->phase = phase;
-    ++revision_;
-    const std::string changed = list(false);
-    for (const auto& one : std::exchange(waiting_, {}))
-        if (const auto client = one.lock(); client && client->open()) {
-            client->later(1, [] {});   // in place of its time-out
-            client->answer(200, changed);
-        }
-    if (phase == "Gone") members_.erase(at);
+    at->changed = ++revision_;
+    tell_waiting();
     return true;
 }
 
 bool Directory::restart(const std::string& id) {
     for (Member& one : members_)
-        if (one.id == id)
-            one.up_since_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
-                                  std::chrono::system_clock::now().time_since_epoch())
-                                  .count();
+        if (one.id == id) one.up_since_ms = unix_ms();
     return set(id, "Ready");
 }
 
+void Directory::add(Member member) {
+    member.changed = ++revision_;
+    members_.push_back(std::move(member));
+    tell_waiting();
+}
+
+void Directory::behave(const Manner& manner) {
+    manner_ = manner;
+    if (!manner_.silent) return;
+    for (const Waiting& one : std::exchange(waiting_, {}))
+        if (const auto client = one.client.lock(); client && client->open()) client->later(1, [] {});
+}
+
+void Directory::tell_waiting() {
+    for (const Waiting& one : std::exchange(waiting_, {}))
+        if (const auto client = one.client.lock(); client && client->open()) answer(client, one.since);
+}
+
+// With what there is once the delay is over.
+void Directory::answer(const std::shared_ptr<Client>& client, int since) {
+    const auto give = [this, client, since] {
+        client->answer(200, since < 0 || manner_.always_whole ? whole() : changes(since));
+    };
+    if (manner_.delay_s <= 0) {
+        client->later(1, [] {});   // in place of its time-out
+        return give();
+    }
+    client->later(manner_.delay_s, give);
+}
+
 void Directory::on_request(const std::shared_ptr<Client>& client, Request& request) {
     ++asked_;
-    const std::size_t index = request.target.find("index=");
     if (!request.target.starts_with("/registry/instances")) return client->answer(404, "");
-    if (index == std::string::npos) return client->answer(200, list(true));
-    if (std::atoi(request.target.c_str() + index + 6) < revision_) return client->answer(200, list(true));
+    if (manner_.silent) return;
+    if (manner_.turns_away) return client->answer(503, "");
+    const std::size_t index = request.target.find("index=");
+    const int since = index == std::string::npos ? -1 : std::atoi(request.target.c_str() + index + 6);
+    if (since < revision_) return answer(client, since);
     const std::size_t wait = request.target.find("wait=");
     const double ms = wait == std::string::npos ? 20000 : std::atof(request.target.c_str() + wait + 5);
-    std::erase_if(waiting_, [](const auto& one) { return one.expired(); });
-    waiting_.push_back(client);
-    client->later(ms / 1e3, [this, client] {
-        std::erase_if(waiting_, [&](const auto& one) { return one.lock() == client; });
-        client->answer(
-            200, "{\"revision\":" + std::to_string(revision_) + ",\"complete\":false,\"members\":[]}");
+    std::erase_if(waiting_, [](const auto& one) { return one.client.expired(); });
+    waiting_.push_back({client, since});
+    client->later(ms / 1e3, [this, client, since] {
+        std::erase_if(waiting_, [&](const auto& one) { return one.client.lock() == client; });
+        answer(client, since);
     });
 }
 
--- a/standins/directory.hpp
+++ b/standins/directory.hpp
@@ -13,22 +13,43 @@
     struct Member {
         std::string id, host_port, flavor = "stand-in", phase = "Ready";
         std::int64_t up_since_ms = 0;   // 0: long ago
+        int cell = 1;
+        int changed = 1;   // the revision with which it last changed
+    };
+    // How calls are answered from now on; by default at once.
+    struct Manner {
+        double delay_s = 0;          // between a call, or its news, and the answer
+        bool silent = false;         // not at all, open watches included
+        bool turns_away = false;     // 503
+        bool always_whole = false;   // with the whole list where changes would do
     };
     Directory(slatejunction::net::Timers& timers, std::string listen, std::vector<Member> members);
     bool start(std::string& why) { return server_.start(listen_, why); }
     // Ready, Terminating or Gone; false: no such provider.
     bool set(const std::string& id, const std::string& phase);
     bool restart(const std::string& id);   // Ready, and up since now
-    std::string list(bool complete) const;
+    void add(Member member);               // as a backend that has just come
+    void behave(const Manner& manner);
+    int revision() const { return revision_; }
+    std::string whole() const;
+    std::string changes(int since) const;   // what has changed after that revision
     std::string summary() const;
 
   private:
     void on_request(const std::shared_ptr<Client>& client, Request& request);
+    std::string list(bool complete, int since) const;
+    void tell_waiting();
+    void answer(const std::shared_ptr<Client>& client, int since);
     const std::string listen_;
     std::vector<Member> members_;
     int revision_ = 1;
     std::size_t asked_ = 0;
-    std::vector<std::weak_ptr<Client>> waiting_;
+    struct Waiting {
+        std::weak_ptr<Client> client;
+        int since = 0;   // the revision that it knows
+    };
+    std::vector<Waiting> waiting_;
+    Manner manner_;
     Server server_;
 };
 
--- a/tests/fleet/preload.cpp
+++ b/tests/fleet/preload.cpp
@@ -4,7 +4,12 @@
 //   records are stamped RIG_STEP=2,-3600        2 s after its start the wall clock is set back by an hour
 //   RIG_STOP=POST /act,20   stops itself (SIGSTOP) right before the 20th send that begins so
 //   RIG_FULL=FILE           while FILE is there the disk is full for files of a folder named rollout
+//   RIG_FAIL=accept:103:3,poll:4:2
+//                           every third accept fails with errno 103, every second poll with errno 4; also
+//                           socket, connect. A connect that fails has not begun.
+//   RIG_SHORT=7             sends and receives move so many bytes at most
 #include <dlfcn.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/types.h>
 #include <unistd.h>
@@ -23,6 +28,12 @@
     double rate = 1, step_after = -1, step_by = 0;
     char stop[64] = "";
     int stop_at = 0, seen = 0;
+    struct Failing {
+        char call[16] = "";
+        int error = 0, every = 0, seen = 0;
+    };
+    Failing failing[8];
+    std::size_t most = 0;   // bytes that a send or a receive moves; 0: all
     timespec began{};
     int (*gettime)(clockid_t, timespec*) = nullptr;
 
@@ -32,6 +43,13 @@
         if (const char* text = std::getenv("RIG_RATE")) rate = std::atof(text);
         if (const char* text = std::getenv("RIG_STEP")) std::sscanf(text, "%lf,%lf", &step_after, &step_by);
         if (const char* text = std::getenv("RIG_STOP")) std::sscanf(text, "%63[^,],%d", stop, &stop_at);
+        if (const char* text = std::getenv("RIG_SHORT")) most = std::strtoul(text, nullptr, 10);
+        const char* text = std::getenv("RIG_FAIL");
+        for (Failing& one : failing) {
+            if (!text || std::sscanf(text, "%15[^:]:%d:%d", one.call, &one.error, &one.every) != 3) break;
+            text = std::strchr(text, ',');
+            if (text) ++text;
+        }
     }
     double elapsed() const {
         timespec now{};
@@ -39,6 +57,14 @@
         return static_cast<double>(now.tv_sec - began.tv_sec) +
                1e-9 * static_cast<double>(now.tv_nsec - began.tv_nsec);
     }
+    // Whether this call is one of those that fail; errno is set then.
+    bool fails(const char* call) {
+        for (Failing& one : failing)
+            if (one.every > 0 && std::strcmp(one.call, call) == 0 && ++one.seen % one.every == 0)
+                return errno = one.error, true;
+        return false;
+    }
+    std::size_t part(std::size_t size) const { return most > 0 ? std::min(most, size) : size; }
     void before_send(const void* data, std::size_t size) {
         const std::size_t length = std::strlen(stop);
         if (stop_at == 0 || size < length || std::memcmp(data, stop, length) != 0) return;
@@ -86,9 +112,50 @@
         }
         rig().before_send(head, size);
     }
+    if (rig().most > 0 && message->msg_iovlen > 0) {   // a part of the first piece that holds anything
+        std::size_t first = 0;
+        while (first + 1 < message->msg_iovlen && message->msg_iov[first].iov_len == 0) ++first;
+        iovec piece = message->msg_iov[first];
+        piece.iov_len = rig().part(piece.iov_len);
+        msghdr less = *message;
+        less.msg_iov = &piece;
+        less.msg_iovlen = 1;
+        return real(fd, &less, flags);
+    }
     return real(fd, message, flags);
 }
 
+extern "C" int accept4(int fd, sockaddr* address, socklen_t* size, int flags) {
+    static const auto real = next<int (*)(int, sockaddr*, socklen_t*, int)>("accept4");
+    if (!rig().fails("accept")) return real(fd, address, size, flags);
+    return -1;
+}
+
+extern "C" int accept(int fd, sockaddr* address, socklen_t* size) {
+    static const auto real = next<int (*)(int, sockaddr*, socklen_t*)>("accept");
+    return rig().fails("accept") ? -1 : real(fd, address, size);
+}
+
+extern "C" int socket(int domain, int type, int protocol) {
+    static const auto real = next<int (*)(int, int, int)>("socket");
+    return rig().fails("socket") ? -1 : real(domain, type, protocol);
+}
+
+extern "C" int connect(int fd, const sockaddr* address, socklen_t size) {
+    static const auto real = next<int (*)(int, const sockaddr*, socklen_t)>("connect");
+    return rig().fails("connect") ? -1 : real(fd, address, size);
+}
+
+extern "C" int poll(pollfd* all, nfds_t count, int wait_ms) {
+    static const auto real = next<int (*)(pollfd*, nfds_t, int)>("poll");
+    return rig().fails("poll") ? -1 : real(all, count, wait_ms);
+}
+
+extern "C" ssize_t recv(int fd, void* data, std::size_t size, int flags) {
+    static const auto real = next<ssize_t (*)(int, void*, std::size_t, int)>("recv");
+    return real(fd, data, rig().part(size), flags);
+}
+
 extern "C" ssize_t write(int fd, const void* data, size_t size) {
     static const auto real = next<ssize_t (*)(int, const void*, size_t)>("write");
     static const char* const full = std::getenv("RIG_FULL");
@@ -107,5 +174,5 @@
 extern "C" ssize_t send(int fd, const void* data, std::size_t size, int flags) {
     static const auto real = next<ssize_t (*)(int, const void*, std::size_t, int)>("send");
     rig().before_send(data, size);
-    return real(fd, data, size, flags);
+    return real(fd, data, rig().part(size), flags);
 }
--- a/tests/ingress/exchange_test.cpp
+++ b/tests/ingress/exchange_test.cpp
@@ -1,18 +1,36 @@
-// Every file of exchanges/ is one test.
-#include <algorithm>
+// Every file of exchanges/ is a test of its own, by its name.
 #include <catch2/catch.hpp>
 #include <filesystem>
-#include <vector>
+#include <string>
 
 #include "player.hpp"
 
-TEST_CASE("recorded exchanges") {
-    std::vector<std::string> files;
-    for (const auto& entry : std::filesystem::directory_iterator(EXCHANGES))
-        if (entry.path().extension() == ".txt") files.push_back(entry.path());
-    std::sort(files.begin(), files.end());
-    REQUIRE(files.size() > 0);
-    for (const std::string& file : files) {
-        DYNAMIC_SECTION(file) { play(file); }
+namespace {
+
+class Exchange final : public Catch::ITestInvoker {
+  public:
+    explicit Exchange(std::string file) : file_(std::move(file)) {}
+    void invoke() const override { play(file_); }
+
+  private:
+    const std::string file_;
+};
+
+// Before main(), as TEST_CASE does. The invoker is Catch2's from here on.
+int register_exchanges() {
+    int count = 0;
+    for (const auto& entry : std::filesystem::directory_iterator(EXCHANGES)) {
+        if (entry.path().extension() != ".txt") continue;
+        const std::string name = "exchange " + entry.path().stem().string();
+        Catch::AutoReg(new Exchange(entry.path()), CATCH_INTERNAL_LINEINFO, Catch::StringRef(),
+                       Catch::NameAndTags(name, "[exchange]"));
+        ++count;
     }
+    return count;
 }
+
+const int registered = register_exchanges();
+
+}   // namespace
+
+TEST_CASE("recorded exchanges are found") { REQUIRE(registered > 50); }
--- a/tests/process.hpp
+++ b/tests/process.hpp
@@ -89,6 +89,7 @@
         signal(number);
         return wait();
     }
+    void forget() { pid_ = 0; }   // it has ended, and was waited for by its id
     ::pid_t id() const { return pid_; }
     bool running() const { return pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == 0; }
 
--- /dev/null
+++ b/tests/terms/terms_test.cpp
@@ -0,0 +1,140 @@
+// Clauses of the operators' pages, each played at its extreme against a started process.
+// docs/terms-audit.md names the clause of each test.
+#include <catch2/catch.hpp>
+#include <cmath>
+
+#include "judge.hpp"
+#include "world.hpp"
+
+using namespace terms;
+namespace net = slatejunction::net;
+
+namespace {
+
+#define HOLDS(world)                                                                     \
+    do {                                                                                 \
+        const auto faults = broken_clauses(world);                                       \
+        INFO(told(faults) << world.folder.read("log") << world.folder.read("heir-log")); \
+        REQUIRE(faults.empty());                                                         \
+    } while (false)
+
+std::size_t served(const World& world) {
+    return static_cast<std::size_t>(std::count_if(world.requests.begin(), world.requests.end(),
+                                                  [](const Request& one) { return one.status == 200; }));
+}
+
+std::size_t attempts_at(const World& world, std::size_t backend, double since = 0) {
+    return static_cast<std::size_t>(std::count_if(
+        world.attempts.begin(), world.attempts.end(),
+        [&](const Attempt& one) { return one.backend == backend && one.recorded_at >= since; }));
+}
+
+// So many requests a second, from now on until the world ends.
+void load(World& world, double rate, const std::string& service_class = "risk-read",
+          double deadline_s = 1) {
+    world.every(1 / rate, [&world, service_class, deadline_s] { world.ask(service_class, deadline_s); });
+}
+
+void hang_all(World& world) {
+    for (auto& one : world.backends) one->manner = Backend::hang;
+}
+
+}   // namespace
+
+TEST_CASE("a stop ends with all answered before the earliest SIGKILL", "[terms][stop]") {
+    const double longest = GENERATE(0.2, 0.5, 1.0, 12.0);
+    const bool silent_discovery = GENERATE(false, true);
+    CAPTURE(longest, silent_discovery);
+    Options options;
+    options.classes = classes_up_to(longest);
+    World world(options);
+    world.start();
+    hang_all(world);
+    const auto ask_all = [&world, longest] {
+        for (const ServiceClass& one : world.options.classes) {
+            const std::size_t place = world.make(one.name, std::min(one.deadline_s, longest));
+            world.dial()->ask(place);
+        }
+    };
+    // Connections that ask late, and heads of which one half is sent before the signal.
+    std::vector<std::shared_ptr<Client>> late, halves;
+    for (int i = 0; i < 30; ++i) late.push_back(world.dial());
+    for (int i = 0; i < 3; ++i) {
+        halves.push_back(world.dial());
+        halves.back()->ask(world.make("risk-read", longest < 4 ? longest : 4), 40);
+    }
+    ask_all();
+    world.run(0.1);
+    if (silent_discovery) {
+        standin::Directory::Manner manner;
+        manner.silent = true;
+        world.discovery[0]->behave(manner);
+    }
+    world.terminate();
+    std::size_t next = 0;
+    world.every(0.05, [&] {   // new connections as long as they come, and open ones until the kill
+        if (net::now() < world.told_at + 0.35) ask_all();
+        if (net::now() > world.told_at + 0.3 && next < halves.size()) halves[next]->go_on();
+        if (next < late.size() && late[next]->open())
+            late[next]->ask(world.make("warn-send", world.class_of("warn-send").deadline_s));
+        ++next;
+    });
+    world.run_until([&] { return world.exited(); }, 20);
+    CHECK(world.killed_at == 0);
+    CHECK(world.exited_at - world.told_at < world.kill_after_s());
+    HOLDS(world);
+}
+
+TEST_CASE("a list of thousands of backends is taken, and its drains are kept", "[terms][list]") {
+    const std::size_t more = GENERATE(998, 3198);
+    const bool always_whole = GENERATE(false, true);
+    CAPTURE(more, always_whole);
+    Options options;
+    options.backends = 2;
+    options.more_listed = more;
+    options.known = false;
+    World world(options);
+    standin::Directory::Manner manner;
+    manner.always_whole = always_whole;
+    for (const auto& one : world.discovery) one->behave(manner);
+    world.start();
+    world.run(1);
+    load(world, 50);
+    world.run(2);
+    CHECK(served(world) > 60);
+    world.set_phase(0, "Terminating");
+    world.run(1.5);
+    CHECK(attempts_at(world, 1) > 60);
+    HOLDS(world);
+}
+
+TEST_CASE("slow start is a span of real time, wherever the wall clock stands", "[terms][clock]") {
+    // From the start on an hour or some seconds ahead or behind; or stepped once it serves.
+    const auto [step, restarts] = GENERATE(table<std::string, bool>(
+        {{"0,3600", false}, {"0,3600", true}, {"0,5", true}, {"0,-3600", false}, {"1,3600", false}}));
+    CAPTURE(step, restarts);
+    Options options;
+    options.service_s = 0.002;
+    options.backend_capacity = 100;
+    options.warm_within_s = 6;
+    options.fall_s = 1;
+    options.environment = {"RIG_STEP=" + step};
+    World world(options);
+    world.start();
+    load(world, 300);
+    world.run(1.2);
+    std::size_t cold = 1;
+    if (restarts) {
+        world.set_phase(cold, "Terminating");
+        world.run(0.5);
+        world.restart_backend(cold);
+    } else {
+        cold = world.add_backend();
+    }
+    const double came = net::now();
+    world.run(4);
+    CHECK(attempts_at(world, cold, came) > 20);   // it is used from the start
+    world.run(4);
+    CHECK(attempts_at(world, cold, net::now() - 1) > 25);   // and has its part once it is warm
+    HOLDS(world);
+}
