End a stop before the earliest SIGKILL: deadlines count as 3 s at most, not at least

The bound took the larger of both: with deadlines of 0.5 s the process was up at 1.2 s, with 12 s at 3.7 s, open requests with it. Now one function tells the earliest SIGKILL, and bound, forced answers, the listener's end and the parts' share follow from it. 0.2 s are kept before it (0.1 before), as a process may be held up for 0.15 s when the signal comes. A process that has handed over and was not told to end keeps its 60 s beyond the longest deadline.

--- a/src/operations/shutdown.cpp
+++ b/src/operations/shutdown.cpp
@@ -8,9 +8,8 @@
 
 static_assert(kKillAfterS - kMarginS - kPartsS - kAnswersS >= kArrivalsS - 1e-9,
               "a request that comes last must have its whole time");
+static_assert(kMarginS > kHeldUpS, "a signal that is heard late must not let SIGKILL come first");
 static_assert(kHandshakesS < kLastCallsS, "what was accepted last must have time to be served");
-static_assert(kLeastDeadlineS + kArrivalsS - kLastCallsS > Shutdown::kStillComingS,
-              "new connections must be accepted as long as they are expected");
 
 double longest_deadline_s(const slatejunction::Settings& settings) {
     double longest = 0;
@@ -19,15 +18,20 @@
     return longest;
 }
 
-double stop_bound_s(double longest_deadline_s) {
-    return std::max(kLeastDeadlineS, longest_deadline_s) + kKillAfterS - kMarginS;
+double earliest_kill_s(double longest_deadline_s) {
+    const bool counted = longest_deadline_s > 0 && longest_deadline_s < kLongestCountedS;
+    return (counted ? longest_deadline_s : kLongestCountedS) + kKillAfterS;
 }
 
+double stop_bound_s(double longest_deadline_s) { return earliest_kill_s(longest_deadline_s) - kMarginS; }
+
 double force_after_s(double longest_deadline_s) {
     return stop_bound_s(longest_deadline_s) - kPartsS - kAnswersS;
 }
 
-double close_after_s(double longest_deadline_s) { return force_after_s(longest_deadline_s) - kLastCallsS; }
+double close_after_s(double longest_deadline_s) {
+    return std::max(kArrivalsS, force_after_s(longest_deadline_s) - kLastCallsS);
+}
 
 void Shutdown::tell(double now) {
     if (told_at_) return;
@@ -64,11 +68,14 @@
            facts.now - facts.last_unknown_at > kQuietS;
 }
 
-double Shutdown::close_at() const { return force_at() - kLastCallsS; }
+double Shutdown::close_at() const {
+    if (told_at_) return *told_at_ + close_after_s(longest_deadline_s_);
+    return force_at() - kLastCallsS;
+}
 
 double Shutdown::force_at() const {
     if (told_at_) return *told_at_ + force_after_s(longest_deadline_s_);
-    return *handed_at_ + force_after_s(longest_deadline_s_) + kHandedMoreS;
+    return *handed_at_ + std::max(longest_deadline_s_, kLongestCountedS) + kHandedMoreS;
 }
 
 double Shutdown::ends_by() const {
--- a/src/operations/shutdown.hpp
+++ b/src/operations/shutdown.hpp
@@ -18,35 +18,40 @@
 
 namespace slatejunction::operations {
 
-// The platform's part: SIGKILL comes no earlier than the longest deadline, at least kLeastDeadlineS, plus
-// kKillAfterS after SIGTERM, and new connections come for up to kArrivalsS after it.
-inline constexpr double kLeastDeadlineS = 3.0;
+// The platform's part (PROTOCOL, "Figures"): SIGKILL comes no earlier than the longest deadline, taken as
+// kLongestCountedS where it is longer or not known, plus kKillAfterS after SIGTERM, and new connections
+// come for up to kArrivalsS after it.
+inline constexpr double kLongestCountedS = 3.0;
 inline constexpr double kKillAfterS = 0.7;
 inline constexpr double kArrivalsS = 0.4;
+// A process may be held up for so long between reading its clock and acting (STANDING, "Beyond this
+// bench").
+inline constexpr double kHeldUpS = 0.15;
 // What is kept free before SIGKILL, for signals and loops that come late on a busy machine.
-inline constexpr double kMarginS = 0.1;
+inline constexpr double kMarginS = 0.2;
 // Of the bound: for the parts beside the ingress (last samples) and the log's last lines, at least.
-inline constexpr double kPartsS = 0.1;
+inline constexpr double kPartsS = 0.05;
 // For the answers that are forced to be written, and connections read for the last time.
-inline constexpr double kAnswersS = 0.1;
+inline constexpr double kAnswersS = 0.05;
 // From refusing new connections until the listening socket is closed, which resets every handshake that has
 // not ended: long beside one on a machine that is busy.
 inline constexpr double kHandshakesS = 0.05;
 // From refusing new connections until what is open is forced: for requests that came with the last
-// connections.
+// connections. Less where deadlines are so short that new connections still come then.
 inline constexpr double kLastCallsS = 0.5;
-// A process that has handed over is not killed: beyond the longest deadline it has that long for large
-// bodies.
+// A process that has handed over is not killed until it is told to end: beyond the longest deadline it has
+// that long for large bodies.
 inline constexpr double kHandedMoreS = 60.0;
 
 // The longest of the classes' deadlines (s); 0 where none is known.
 double longest_deadline_s(const slatejunction::Settings& settings);
 
-// Seconds from SIGTERM until the process has ended, whatever clients, providers and other systems do. A
-// longest deadline of 0 is not known.
+// Seconds from SIGTERM until the earliest SIGKILL. A longest deadline of 0 is not known.
+double earliest_kill_s(double longest_deadline_s);
+// Seconds from SIGTERM until the process has ended, whatever clients, providers and other systems do.
 double stop_bound_s(double longest_deadline_s);
 // Seconds from SIGTERM until what is still open is answered by force: no request that came within
-// kArrivalsS of it is cut short before its own time is up.
+// kArrivalsS of it and has kLongestCountedS or less is cut short before its own time is up.
 double force_after_s(double longest_deadline_s);
 // Seconds from SIGTERM until nothing new is accepted, however much still comes.
 double close_after_s(double longest_deadline_s);
