Read lists of thousands of backends, and hear a discovery that is slow to answer

Two causes in the watch. Its parser took bodies up to 64 KiB, the bound of clients' and backends' messages: 428 backends were the most, and a longer list was never in force. The parser's bound is a parameter now, 32 MiB for lists; the buffer grows as bytes come and is not kept. And each call after a failure was given up after 0.8 s: now every second one has 2 s, and while a discovery is slow a watch call waits 0.8 s for news in place of 2 s, so that the bound of 5.6 s (told_within, checked when compiled) stays.

--- a/src/directory/watch.cpp
+++ b/src/directory/watch.cpp
@@ -10,11 +10,18 @@
 // After a call that failed what the directory has to tell counts as told 6 s later, heard or not. So a
 // watch that falls silent must be found out soon, and no call that follows a failure may wait for news: one
 // that falls silent in turn would hide all that the directory has meanwhile.
-constexpr int kWaitMs = 2000;     // how long a watch call waits for news
-constexpr double kGrace = 0.8;    // s; over that, a silent directory's call is given up
-constexpr int kAtOnceMs = 1;      // how long a call waits that follows a failure or a move
-constexpr double kAtOnce = 0.8;   // s; until such a call's answer is whole
-constexpr double kDial = 0.8;     // s
+constexpr int kWaitMs = 2000;           // how long a watch call waits for news
+constexpr double kGrace = 0.8;          // s; over that, a silent directory's call is given up
+constexpr int kAtOnceMs = 1;            // how long a call waits that follows a failure or a move
+constexpr double kAtOnce = 0.8;         // s; until such a call's answer is whole
+constexpr double kAtOnceSlowly = 2.0;   // s; the same, of each call after one that was given up
+// s; of the time of a watch call, what is left for the answer of a directory that is slow. The call is
+// given up as soon as any other: it waits for news the less.
+constexpr double kGraceSlowly = 2.0;
+constexpr int kWaitSlowlyMs = 800;
+constexpr double kPromptly = 0.4;   // s; an answer that takes no longer comes from one that is not slow
+static_assert(kWaitSlowlyMs / 1000.0 + kGraceSlowly <= kWaitMs / 1000.0 + kGrace);
+constexpr double kDial = 0.8;   // s
 // s; a directory that tells nothing but lists older than the one in force for so long counts anew
 constexpr double kOlder = 2.5;
 // s; where the directory is there and turns callers away: half of it to half as much again is waited.
@@ -26,8 +33,9 @@
 
 double Watch::told_within() {
     // What is out when the directory comes to have news: a watch call that has just fallen silent, or a
-    // call after a failure that it can't answer any more.
-    constexpr double kLost = std::max(kWaitMs / 1000.0 + kGrace, kDial + kAtOnce);
+    // call after a failure that it can't answer any more. After one that was given up late the next has the
+    // shorter time.
+    constexpr double kLost = std::max(kWaitMs / 1000.0 + kGrace, kDial + kAtOnceSlowly);
     constexpr double kPause = std::max(kLongestPause, kLongestTurned * (1 + kTurnedSpread));
     constexpr double kNext = kDial + kAtOnce;   // the call that brings it
     // One that counts anew is asked again and again by calls that it answers.
@@ -42,7 +50,7 @@
       clock_(clock),
       timer_(timers, [this] { overdue(); }),
       authority_(std::move(authority)),
-      parser_(http::Parser::Kind::response),
+      parser_(http::Parser::Kind::response, false, kListMost),
       random_(static_cast<std::minstd_rand::result_type>(seed ^ (seed >> 32)) | 1) {}
 
 void Watch::attach(net::Transport& transport, std::function<bool()> dial) {
@@ -53,6 +61,7 @@
 void Watch::start(std::optional<std::int64_t> known_revision, bool moved) {
     revision_ = newest_ = known_revision;
     at_once_ = moved;
+    patient_ = slow_ = false;
     dial();
 }
 
@@ -70,16 +79,37 @@
 
 void Watch::on_open() { ask(); }
 
+int Watch::wait_ms() const {
+    if (at_once_) return kAtOnceMs;
+    return slow_ ? kWaitSlowlyMs : kWaitMs;
+}
+
+// s; until the whole answer of the next call.
+double Watch::answer_within() const {
+    if (!revision_ || at_once_) return patient_ ? kAtOnceSlowly : kAtOnce;
+    return wait_ms() / 1000.0 + (slow_ ? kGraceSlowly : kGrace);
+}
+
+// What the answer that has come tells of the time that the directory takes. Of a watch call only one that
+// came after its wait does: news come within it.
+void Watch::learn_pace() {
+    const bool watched = revision_ && !at_once_;
+    const double took = net::now() - asked_at_ - (watched ? wait_ms() / 1000.0 : 0);
+    patient_ = false;
+    if (!watched || took > 0) slow_ = took > kPromptly;
+}
+
 // The next call follows each answer at once: the directory ends a watch that pauses for 200 ms.
 void Watch::ask() {
     std::array<char, 96> query{};
     if (revision_)
         std::snprintf(query.data(), query.size(), "?index=%lld&wait=%d", static_cast<long long>(*revision_),
-                      at_once_ ? kAtOnceMs : kWaitMs);
+                      wait_ms());
     const std::array<std::string_view, 5> parts{"GET /registry/instances", query.data(),
                                                 " HTTP/1.1\r\nHost: ", authority_, "\r\n\r\n"};
     state_ = State::asking;
-    timer_.arm(net::now() + (revision_ && !at_once_ ? kWaitMs / 1000.0 + kGrace : kAtOnce));
+    asked_at_ = net::now();
+    timer_.arm(asked_at_ + answer_within());
     if (!transport_->send(parts)) fail("the connection broke");
 }
 
@@ -108,12 +138,13 @@
         return fail("a list older than the one in force was left out");
     }
     const bool reusable = parser_.head().keep_alive && parser_.used() == buffer_.view().size();
+    learn_pace();
     revision_ = newest_ = listing.revision;
     heard_at_ = net::now();
     failures_ = turned_away_ = 0;
     at_once_ = false;
     parser_.reset();
-    buffer_.clear();
+    buffer_ = http::Buffer();   // the room of a long list is not kept
     if (reusable) {
         ask();
     } else {
@@ -160,10 +191,10 @@
 }
 
 void Watch::overdue() {
-    if (state_ == State::waiting)
-        dial();
-    else
-        fail("no answer in time");
+    if (state_ == State::waiting) return dial();
+    const bool watched = revision_ && !at_once_;
+    if (state_ == State::asking && !watched) patient_ = !patient_;
+    fail("no answer in time");
 }
 
 // Guards against a release in which most ingresses ask at once, and whom a busy directory turns away ask it
--- a/src/directory/watch.hpp
+++ b/src/directory/watch.hpp
@@ -13,6 +13,10 @@
 
 namespace slatejunction::directory {
 
+// Bytes of a list, whole or as changes. One of 74,000 backends takes 11 MB, indented twice as much; at most
+// 3,200 are asked for (STANDING, "Beyond this bench").
+inline constexpr std::size_t kListMost = std::size_t{32} << 20;
+
 class WatchHost {
   public:
     virtual ~WatchHost() = default;
@@ -51,6 +55,9 @@
     void fail(const char* why);
     void turned_away();
     void overdue();
+    int wait_ms() const;
+    double answer_within() const;
+    void learn_pace();
 
     WatchHost& host_;
     const UnixClock& clock_;
@@ -68,6 +75,9 @@
     double older_since_ = 0;   // since when the directory has told nothing but older lists; 0: it has not
     int failures_ = 0;
     bool at_once_ = false;   // the next call waits for no news, as the last one failed or was elsewhere
+    bool patient_ = false;   // the next such call may take long: the last one was given up
+    bool slow_ = false;      // this directory takes long for its answers: a watch call leaves it the time
+    double asked_at_ = 0;    // s, net::now()
     int turned_away_ = 0;    // in a row
     std::minstd_rand random_;
     double heard_at_ = 0;
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -155,7 +155,8 @@
             reset();
             return look(buffer, ended);
         }
-        most_ = body_at_ + (framing_ == Framing::length ? std::min(body_size_, kBodyMost) : 2 * kBodyMost);
+        most_ =
+            body_at_ + (framing_ == Framing::length ? std::min(body_size_, body_most_) : 2 * body_most_);
         have_head_ = true;
         chunk_at_ = body_at_;
     }
@@ -166,8 +167,8 @@
             break;
         case Framing::length:
             // A large answer goes on at once; a large request once as much has come as may be tried again.
-            if (have < body_size_ && body_size_ > kBodyMost &&
-                (kind_ == Kind::response || have >= kBodyMost))
+            if (have < body_size_ && body_size_ > body_most_ &&
+                (kind_ == Kind::response || have >= body_most_))
                 return rest_follows(buffer, body_at_ + have, have);
             if (have < body_size_) return Step::more;
             used_ = body_at_ + body_size_;
@@ -176,8 +177,8 @@
             if (const Step step = feed_chunks(buffer); step != Step::done) return step;
             break;
         case Framing::until_end:
-            if (have > kBodyMost && !streams_) return Step::body_too_large;
-            if (!ended && have > kBodyMost) return rest_follows(buffer, body_at_ + have, have);
+            if (have > body_most_ && !streams_) return Step::body_too_large;
+            if (!ended && have > body_most_) return rest_follows(buffer, body_at_ + have, have);
             if (!ended) return Step::more;
             body_size_ = have;
             used_ = body_at_ + have;
@@ -264,7 +265,7 @@
         framing_ = Framing::chunked;
     } else if (length) {
         if (length->size() > 18 || !read_size(*length, 10, body_size_)) return Step::bad;
-        if (body_size_ > (streams_ ? kStreamMost : kBodyMost)) return Step::body_too_large;
+        if (body_size_ > (streams_ ? kStreamMost : body_most_)) return Step::body_too_large;
         framing_ = Framing::length;
     }
     if (kind_ == Kind::response && (head_.status == 204 || head_.status == 304 || head_.status < 200))
@@ -291,7 +292,7 @@
         line = trimmed(line.substr(0, line.find(';')));
         std::size_t size = 0;
         if (line.size() > 8 || !read_size(line, 16, size)) return Step::bad;
-        if (body_size_ + size > kBodyMost) {
+        if (body_size_ + size > body_most_) {
             if (!streams_ || body_size_ + size > kStreamMost) return Step::body_too_large;
             return rest_follows(buffer, chunk_at_, body_size_);
         }
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -93,8 +93,10 @@
 class Parser {
   public:
     enum class Kind { request, response };
-    // `streams`: its owner passes larger bodies on as they come; else they are too large.
-    explicit Parser(Kind kind, bool streams = false) : kind_(kind), streams_(streams) {}
+    // `streams`: its owner passes larger bodies on as they come; else they are too large. `body_most`:
+    // bytes of a body that is taken whole.
+    explicit Parser(Kind kind, bool streams = false, std::size_t body_most = kBodyMost)
+        : kind_(kind), streams_(streams), body_most_(body_most) {}
 
     // Where the next bytes go. Once the head is known only feed() grows the Buffer, as views point into it.
     std::span<char> room(Buffer& buffer) const;
@@ -132,6 +134,7 @@
 
     Kind kind_;
     bool streams_;
+    std::size_t body_most_;
     Head head_;
     bool have_head_ = false;
     Framing framing_ = Framing::none;
