Count slow start from when a backend was seen to come, not by the wall clock alone

The age of each backend was now less up_since_ms by a clock whose offset is fixed at the start, so a wall clock an hour ahead made every start old, and one that is behind kept it cold. directory::StartTimes bounds the age of one that was seen to come (new in the list, or with another start than before) by the time since the list that did not hold it; among such ones ages differ as the stated times do, the latest being new. Those in the first list have the wall clock alone, at most now. Not taken: the wall clock within some seconds, as a step by seconds passes that.

--- a/src/directory/listing.cpp
+++ b/src/directory/listing.cpp
@@ -32,7 +32,7 @@
 namespace {
 
 bool read_entry(const rapidjson::Value& json, const UnixClock& clock, slatejunction::ListEntry& entry,
-                std::string& address) {
+                std::string& address, double& up_since_ms) {
     if (!json.IsObject()) return false;
     const auto text = [&](const char* name) {
         const auto at = json.FindMember(name);
@@ -59,7 +59,8 @@
     entry.zone = text("locality");
     entry.capacity_hint = number("size");
     entry.cell = whole(number("cell"));
-    entry.born_s = clock.monotonic(number("up_since_ms"));
+    up_since_ms = std::max(0.0, number("up_since_ms"));
+    entry.born_s = clock.monotonic(up_since_ms);
     return !entry.server.empty() && (entry.state != ServerState::in || net::parse_address(address));
 }
 
@@ -68,15 +69,18 @@
     int broken = 0;
     listing.update.entries.clear();
     listing.addresses.clear();
+    listing.up_since_ms.clear();
     for (const rapidjson::Value& member : members.GetArray()) {
         slatejunction::ListEntry entry;
         std::string address;
-        if (!read_entry(member, clock, entry, address)) {
+        double up_since_ms = 0;
+        if (!read_entry(member, clock, entry, address, up_since_ms)) {
             ++broken;
             continue;
         }
         listing.update.entries.push_back(std::move(entry));
         listing.addresses.push_back(std::move(address));
+        listing.up_since_ms.push_back(up_since_ms);
     }
     return broken;
 }
--- a/src/directory/listing.hpp
+++ b/src/directory/listing.hpp
@@ -17,10 +17,12 @@
     std::optional<std::int64_t> revision;
     slatejunction::ListUpdate update;
     std::vector<std::string> addresses;   // host:port, beside update.entries
+    std::vector<double> up_since_ms;      // the start as it was stated, likewise; 0: long ago
 };
 
 // Turns Unix time into the program's monotonic one. Made once: the same start of a provider must give the
-// same figure each time, or the module would take every list for a restart.
+// same figure each time, or the module would take every list for a restart. It is as wrong as the wall
+// clock was then: StartTimes bounds what that may do.
 class UnixClock {
   public:
     UnixClock();
--- a/src/directory/watch.cpp
+++ b/src/directory/watch.cpp
@@ -181,6 +181,7 @@
         if (listing.update.entries[i].state == slatejunction::ServerState::in) continue;
         leaving.update.entries.push_back(std::move(listing.update.entries[i]));
         leaving.addresses.push_back(std::move(listing.addresses[i]));
+        leaving.up_since_ms.push_back(listing.up_since_ms[i]);
     }
     if (!leaving.update.entries.empty()) host_.on_listing(leaving);
 }
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -139,6 +139,7 @@
         share_out();
         prepare_timer_.arm(net::now() + (config_.known.update.entries.empty() ? kPrepareAnew : kPrepare));
     }
+    start_times_.settle_copy(config_.known, net::now());
     operations_.lay_over(config_.known);
     pool_.update(config_.known);
     slatejunction::ListUpdate known = config_.known.update;
@@ -377,6 +378,7 @@
 }
 
 void Ingress::on_listing(directory::Listing& listing) {
+    start_times_.settle(listing, net::now());
     operations_.lay_over(listing);
     const bool first = handover_.role().state() == handover::Role::State::preparing;
     // The pool first: it ends dials to providers that are leaving, before the module sends anything more.
--- a/src/ingress/ingress.hpp
+++ b/src/ingress/ingress.hpp
@@ -13,6 +13,7 @@
 #include "admin/server.hpp"
 #include "config/config.hpp"
 #include "consumer/server.hpp"
+#include "directory/start_times.hpp"
 #include "directory/watch.hpp"
 #include "handover/handover.hpp"
 #include "ingress/observer.hpp"
@@ -117,8 +118,8 @@
     bool listen_in_time(std::string& why, const std::function<bool(double)>& pause);
     admin::Reply ready_call() const;
     operations::Verdict carry_out(const handover::Order& order, bool from_other);
-    void share_out();                               // of the limits, with the other process
-    void tell_change(directory::Listing& change);   // of the list, as operators have it
+    void share_out();                                // of the limits, with the other process
+    void tell_change(directory::Listing& change);    // of the list, as operators have it
 
     void tell(slatejunction::Event event);   // to the module, after what is being carried out
     void carry_out(const slatejunction::Action& action);
@@ -173,6 +174,7 @@
     net::Timer prepare_timer_;   // while taking over
     handover::Use theirs_;       // what the other process holds
     std::shared_ptr<WatchLink> watch_;
+    directory::StartTimes start_times_;
     std::vector<Judge*> judges_;
     std::vector<Overlay*> overlays_;
     std::vector<CallTaker*> takers_;
