Play requests that wait: behind others, in a held-up process, and when it is told to end

Three clauses fail on the program: the deadline told is at most what the client has left plus 0.15 s, also of a request sent behind another one (0.7 s too much) and of one whose bytes lay while the process stood for 0.6 s (0.597 s too much, on an open and on a new connection); and a request that was read gets its answer: of three sent at once, two are dropped when SIGTERM or an operators' drain comes within the first.

--- a/tests/terms/terms_test.cpp
+++ b/tests/terms/terms_test.cpp
@@ -140,6 +140,70 @@
     HOLDS(world);
 }
 
+TEST_CASE("requests sent at once are told what each has left", "[terms][deadline]") {
+    Options options;
+    World world(options);
+    world.start();
+    for (auto& one : world.backends)
+        one->manner = [&world](const auto& client, const standin::Request& request) {
+            const std::string body = "ran " + request.field("x-request-id");
+            client->later(0.7, [client, body] { client->answer(200, body); });
+        };
+    const auto client = world.dial();
+    world.run(0.05);
+    for (int i = 0; i < 3; ++i) client->ask(world.make("risk-read", 1.5));
+    world.run(3);
+    CHECK(served(world) >= 1);
+    HOLDS(world);
+}
+
+TEST_CASE("a held-up ingress tells what the client has left", "[terms][deadline]") {
+    const bool new_connection = GENERATE(false, true);
+    CAPTURE(new_connection);
+    Options options;
+    World world(options);
+    world.start();
+    auto client = world.dial();
+    client->ask(world.make("risk-read", 1));
+    world.run(0.3);
+    REQUIRE(served(world) == 1);
+    world.process.signal(SIGSTOP);
+    if (new_connection) client = world.dial();
+    world.run(0.05);
+    client->ask(world.make("risk-read", 2));
+    world.run(0.6);
+    world.process.signal(SIGCONT);
+    world.run(1);
+    CHECK(served(world) == 2);
+    HOLDS(world);
+}
+
+TEST_CASE("requests that were read get their answers when the process is told to end",
+          "[terms][stop][pipeline]") {
+    const bool drain = GENERATE(false, true);
+    CAPTURE(drain);
+    Options options;
+    World world(options);
+    world.start();
+    for (auto& one : world.backends)
+        one->manner = [](const auto& client, const standin::Request& request) {
+            const std::string body = "ran " + request.field("x-request-id");
+            client->later(0.3, [client, body] { client->answer(200, body); });
+        };
+    const auto client = world.dial();
+    world.run(0.05);
+    for (int i = 0; i < 3; ++i) client->ask(world.make("risk-read", 3));
+    world.run(0.15);
+    if (drain)
+        REQUIRE(world.ask_operators(world.admin_port, "POST", "/v1/ingress/drain").find("200") !=
+                std::string::npos);
+    else
+        world.terminate();
+    world.run(3);
+    CHECK(served(world) == 3);
+    HOLDS(world);
+}
+
 TEST_CASE("a discovery that is slow to answer is heard within the time of the rules",
           "[terms][discovery]") {
     const double delay = GENERATE(0.9, 1.5);
