Count a request's time from when its bytes came, and answer all that was read

A request's time ran from when it was taken out of the buffer: behind another one, or while the process stood still, the client's time had run on, and the backend was told too much. consumer::ArrivalTimes keeps when the bytes of a buffer came; of bytes that lay with the system while nobody read, TCP_INFO tells for how long (one call a read). And an answer that ends a connection dropped whole requests that had been read behind it: now such an answer ends it only when none is left, and nothing more is read beside an answer that is owed once the process or the drain says that connections are to end. A look for a client's end is repeated when a signal interrupts it (EINTR), which read as: still there.

--- a/src/consumer/session.cpp
+++ b/src/consumer/session.cpp
@@ -63,6 +63,7 @@
     if (uploading_) return held_ ? std::span<char>() : buffer_.space(kAtOnce);
     if (unread()) return {};
     if (!busy_) return parser_.room(buffer_);
+    if (host_.stopping()) return {};   // nothing more is taken on here than has been read
     if (buffer_.view().size() >= kAheadMost) return {};
     return buffer_.space(512);
 }
@@ -72,6 +73,7 @@
     // the time runs from its start.
     if (asked_ && !busy_ && buffer_.view().empty()) since_ = net::now();
     buffer_.commit(size);
+    arrivals_.add(size, net::now() - transport_->waited_s());
     if (uploading_) {
         moved_ = net::now();
         return pass_on();
@@ -107,6 +109,12 @@
     reading_ = false;
 }
 
+// Guards the rule that a request that was read gets its answer: one that lies here whole is answered on
+// this connection, whatever tells the process to end it.
+bool Session::next_is_read() const { return buffer_.view().find("\r\n\r\n") != std::string_view::npos; }
+
+bool Session::ends_with_answer() const { return host_.stopping() && !next_is_read(); }
+
 // Who waits for leave to send a body has it (RFC 9110, section 10.1.1), once.
 void Session::expect() {
     if (continued_ || !parser_.has_head() || !parser_.expects_continue()) return;
@@ -117,8 +125,11 @@
 
 void Session::take(bool rest_follows) {
     const double now = net::now();
+    const std::size_t used = parser_.used();
+    arrivals_.keep_last(buffer_.view().size());
+    const double arrived = used > 0 ? std::min(now, arrivals_.at(used - 1)) : now;
     const http::Head& head = parser_.head();
-    keep_alive_ = head.keep_alive && !host_.stopping();
+    keep_alive_ = head.keep_alive;
     newest_ = head.newest;
     busy_ = asked_ = true;
     continued_ = false;
@@ -128,14 +139,13 @@
     if (health && rest_follows) return reject(413, "message over the limits");
     if (!health) {
         if (!find_class(host_.settings(), first_part(head.second))) return reject(404, "path");
-        const std::string_view fault = read_invocation(head, host_.settings(), now, *invocation);
+        const std::string_view fault = read_invocation(head, host_.settings(), arrived, *invocation);
         if (!fault.empty()) return reject(400, fault);
         // Guards against a second copy beside the one that is out, which no class but one may have.
         if (host_.is_open(invocation->request_id)) return reject(409, "X-Request-Id of an open request");
         if (head.first == "GET" && (rest_follows || !parser_.body().empty())) return reject(400, "a body");
     }
     invocation->body = parser_.body();
-    const std::size_t used = parser_.used();
     if (rest_follows) {
         // When it is due is known once its last byte has come: until then the time that this may take is
         // added, which nobody waits for.
@@ -161,6 +171,7 @@
     }
     invocation->bytes = std::move(buffer_);
     buffer_ = std::move(next);
+    arrivals_.keep_last(buffer_.view().size());
     if (health) return answer({host_.ready() ? 200 : 503, 0, {}, {}});
     requested_ = true;
     const auto keep = shared_from_this();
@@ -216,11 +227,14 @@
         if (state == http::BodyReader::State::done) {
             uploading_ = false;
             invocation->whole = true;
-            invocation->due = net::now() + invocation->wait_s;
+            const std::size_t used = buffer_.view().size() - in.size();
+            arrivals_.keep_last(buffer_.view().size());
+            invocation->due = arrivals_.at(used > 0 ? used - 1 : 0) + invocation->wait_s;
             since_ = net::now();
         }
     }
     buffer_.drop_front(buffer_.view().size() - in.size());
+    arrivals_.keep_last(buffer_.view().size());
     if (uploading_ || !sink) return;
     sink_.reset();
     sink->put_end(true);
@@ -267,7 +281,7 @@
 
 void Session::answer(const Answer& answer) {
     if (ended_) return;
-    if (host_.stopping()) keep_alive_ = false;
+    if (ends_with_answer()) keep_alive_ = false;
     // An answer before the last byte of its request: what still comes of that is nobody's.
     if (std::exchange(uploading_, false)) keep_alive_ = false;
     sink_.reset();
--- a/src/consumer/session.hpp
+++ b/src/consumer/session.hpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <vector>
 
+#include "consumer/arrival_times.hpp"
 #include "consumer/invocation.hpp"
 #include "net/stream.hpp"
 
@@ -68,6 +69,8 @@
 
   private:
     void read_next();
+    bool next_is_read() const;
+    bool ends_with_answer() const;
     bool unread() const;   // its last answer waits to be written, and with it the next request
     void take(bool rest_follows);
     void pass_on();   // what has come of a request's rest
@@ -80,6 +83,7 @@
     net::Transport* transport_ = nullptr;
     http::Parser parser_;
     http::Buffer buffer_;
+    ArrivalTimes arrivals_;   // of the bytes in buffer_
     std::uint64_t number_ = 0;
     double since_ = net::now();
     // A request's rest on its way.
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -257,7 +257,7 @@
 
 std::uint64_t Ingress::on_invocation(std::shared_ptr<consumer::Consumer> consumer,
                                      std::shared_ptr<consumer::Invocation> invocation) {
-    last_request_at_ = invocation->arrived;
+    last_request_at_ = net::now();
     const bool stopped = shutdown_.turns_away();
     if (stopped || (config_.max_open > 0 && open_.size() >= config_.max_open)) {
         consumer->answer({503, config_.settings.max_retry_after_s, {}, {}});
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -8,7 +8,9 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <charconv>
+#include <cstddef>
 
 #include "net/guard.hpp"
 
@@ -77,7 +79,20 @@
 bool Stream::ended() const {
     if (!socket_) return true;
     pollfd one{g_socket_get_fd(socket_.get()), POLLRDHUP, 0};
-    return ::poll(&one, 1, 0) == 1 && (one.revents & kEnded) != 0;
+    int ready = 0;
+    do {
+        ready = ::poll(&one, 1, 0);
+    } while (ready < 0 && errno == EINTR);
+    return ready == 1 && (one.revents & kEnded) != 0;
+}
+
+double Stream::waited_s() const {
+    if (!socket_) return 0;
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (::getsockopt(g_socket_get_fd(socket_.get()), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return 0;
+    if (size < offsetof(tcp_info, tcpi_last_data_recv) + sizeof info.tcpi_last_data_recv) return 0;
+    return 1e-3 * info.tcpi_last_data_recv;
 }
 
 // A level-triggered source would spin on what is not read. Guards against a peer that has gone meanwhile.
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -21,6 +21,9 @@
     virtual void drop(std::size_t most) = 0;       // from now on drops what comes; over `most` it breaks
     virtual void close() = 0;                      // no callback comes after it
     virtual bool ended() const { return false; }   // by the peer, whatever it sent before lies unread
+    // s; how long the bytes that were read last had lain with the system, as far as it tells. Of bytes that
+    // came at several times it is the last one's.
+    virtual double waited_s() const { return 0; }
 };
 
 // A protocol as a state machine that is fed bytes.
@@ -58,6 +61,7 @@
     void drop(std::size_t most) override;
     void close() override;
     bool ended() const override;
+    double waited_s() const override;
 
   private:
     static gboolean on_unread_end(gint, GIOCondition, gpointer self);
