Play an upgrade while discovery is silent, and system calls that fail for a moment

The two processes of an upgrade count as one ingress, and what it was told of drains holds: the new process begins with the file's copy of the list, and with discovery silent it sends to a backend that the old one was told is leaving, 15 requests in 3 s. And where every second accept fails with ECONNABORTED, accepting pauses for 50 ms each time: requests wait for up to 0.3 s. Four more tests hold on the program as it was: what discovery has 4 s after SIGHUP, short reads and writes, clients that have gone before a further attempt, slow start through an upgrade.

--- a/tests/terms/terms_test.cpp
+++ b/tests/terms/terms_test.cpp
@@ -204,6 +204,46 @@
     HOLDS(world);
 }
 
+TEST_CASE("what the ingress was told of drains holds for its new process", "[terms][handover]") {
+    Options options;
+    World world(options);
+    world.start();
+    load(world, 60);
+    world.run(0.5);
+    world.set_phase(0, "Terminating");
+    world.run(1);
+    standin::Directory::Manner manner;
+    manner.silent = true;
+    for (const auto& one : world.discovery) one->behave(manner);
+    world.start_heir();
+    world.terminate();
+    world.run_until([&] { return world.exited(); }, 10);
+    world.run(2);
+    CHECK(attempts_at(world, 1, net::now() - 1.5) > 20);
+    HOLDS(world);
+}
+
+TEST_CASE("a backend's slow start goes on through an upgrade", "[terms][handover][clock]") {
+    Options options;
+    options.service_s = 0.002;
+    options.backend_capacity = 100;
+    options.warm_within_s = 6;
+    options.fall_s = 1;
+    options.environment = {"RIG_STEP=0,3600"};
+    World world(options);
+    world.start();
+    load(world, 300);
+    world.run(0.5);
+    world.set_phase(1, "Terminating");
+    world.run(0.5);
+    world.restart_backend(1);
+    world.run(0.1);
+    world.start_heir();
+    world.terminate();
+    world.run(4);
+    HOLDS(world);
+}
+
 TEST_CASE("a discovery that is slow to answer is heard within the time of the rules",
           "[terms][discovery]") {
     const double delay = GENERATE(0.9, 1.5);
@@ -223,3 +263,86 @@
     CHECK(attempts_at(world, 1) > 100);
     HOLDS(world);
 }
+
+TEST_CASE("4 s after SIGHUP what discovery has counts as told, also at the same address",
+          "[terms][reload]") {
+    const bool moves = GENERATE(false, true);
+    CAPTURE(moves);
+    Options options;
+    World world(options);
+    world.start();
+    load(world, 40);
+    world.run(1);
+    standin::Directory::Manner manner;
+    manner.silent = true;
+    world.discovery[0]->behave(manner);   // the open watch is lost
+    world.run(0.1);
+    if (!moves) world.discovery[0]->behave({});
+    world.write_config(moves ? 1 : 0);
+    const double change = net::now();
+    world.discovery_troubles.emplace_back(change - 2, change - 2);   // 4 s after the signal
+    world.process.signal(SIGHUP);
+    world.set_phase(0, "Terminating");
+    world.run(6);
+    HOLDS(world);
+}
+
+TEST_CASE("system calls that fail for a moment lose no request", "[terms][calls]") {
+    // ECONNABORTED, ENFILE, ENOBUFS, EADDRNOTAVAIL, ENETUNREACH, EINTR.
+    const std::string failing = GENERATE("accept:103:2", "accept:23:3", "socket:105:4", "connect:99:3",
+                                         "connect:101:3", "poll:4:3", "poll:4:2,accept:103:3,connect:99:4");
+    CAPTURE(failing);
+    Options options;
+    options.environment = {"RIG_FAIL=" + failing};
+    World world(options);
+    world.start();
+    for (int round = 0; round < 40; ++round) {
+        for (int i = 0; i < 4; ++i) world.dial()->ask(world.make(i % 2 ? "warn-send" : "risk-read", 2));
+        if (round % 2 == 0) world.clients.back()->leave();
+        world.run(0.02);
+    }
+    for (int i = 0; i < 40; ++i) world.dial()->ask(world.make("risk-read", 2));
+    world.run(0.02);
+    world.terminate();
+    world.run_until([&] { return world.exited(); }, 10);
+    CHECK(served(world) > 100);
+    HOLDS(world);
+}
+
+TEST_CASE("short reads and writes change nothing", "[terms][calls]") {
+    Options options;
+    options.environment = {"RIG_SHORT=7"};
+    World world(options);
+    world.start();
+    load(world, 50);
+    world.run(2);
+    world.set_phase(0, "Terminating");
+    world.run(1);
+    world.terminate();
+    world.run_until([&] { return world.exited(); }, 10);
+    CHECK(served(world) > 80);
+    HOLDS(world);
+}
+
+TEST_CASE("no attempt begins for a client that has gone", "[terms][gone]") {
+    Options options;
+    World world(options);
+    world.start();
+    // Every first attempt fails late enough for its client to have gone meanwhile.
+    for (auto& one : world.backends)
+        one->manner = [](const auto& client, const standin::Request&) {
+            client->later(0.25, [client] { client->answer(503, "", "X-Not-Run: 1\r\n"); });
+        };
+    for (auto& one : world.backends) one->turns_away = true;
+    std::vector<std::shared_ptr<Client>> all;
+    for (int i = 0; i < 30; ++i) {
+        all.push_back(world.dial());
+        all.back()->ask(world.make("risk-read", 4));
+        if (i % 3 == 0)   // behind bytes that are not read
+            for (int more = 0; more < 60; ++more) all.back()->ask(world.make("risk-read", 4));
+    }
+    world.run(0.15);
+    for (const auto& one : all) one->leave();
+    world.run(2);
+    HOLDS(world);
+}
