Hand the list over on an upgrade, and go on accepting after a call that failed

The state that an old process sends now holds the list in force, with its revision and each start as that process counts it (one monotonic clock): the new one begins with it in place of the file's copy, so that drains are kept and slow start goes on while discovery is silent. It is left out where the line would grow over 1 MiB, and an older process on either side ignores it. An accept that fails is followed by the next one at once; only three in a row pause for 50 ms, which is the guard against a spin without descriptors, and the last look at the backlog goes on over failures up to its bound.

--- a/include/slatejunction/gateway.hpp
+++ b/include/slatejunction/gateway.hpp
@@ -104,6 +104,7 @@
     std::int64_t cell = 0;
     double born_s = 0;           // 0: long ago
     std::uint64_t subsets = 0;   // the named parts of the fleet that it belongs to, as bits
+    bool operator==(const ListEntry&) const = default;
 };
 
 // Events. -------------------------------------------------------------------------------------------
@@ -115,6 +116,7 @@
 struct ListUpdate {
     ListKind kind = ListKind::changes;
     std::vector<ListEntry> entries;
+    bool operator==(const ListUpdate&) const = default;
 };
 
 // When a request that is for a named part of the fleet may go to the whole of it instead: never; when that
--- a/src/directory/listing.hpp
+++ b/src/directory/listing.hpp
@@ -18,6 +18,7 @@
     slatejunction::ListUpdate update;
     std::vector<std::string> addresses;   // host:port, beside update.entries
     std::vector<double> up_since_ms;      // the start as it was stated, likewise; 0: long ago
+    bool operator==(const Listing&) const = default;
 };
 
 // Turns Unix time into the program's monotonic one. Made once: the same start of a provider must give the
--- a/src/directory/start_times.cpp
+++ b/src/directory/start_times.cpp
@@ -49,6 +49,20 @@
     compares_ = compares_ || !copy.update.entries.empty();
 }
 
+void StartTimes::adopt(const Listing& settled) {
+    for (std::size_t i = 0; i < settled.update.entries.size(); ++i)
+        remember(settled.update.entries[i], settled.up_since_ms[i], last_list_at_);
+    compares_ = compares_ || !settled.update.entries.empty();
+}
+
+void StartTimes::state(Listing& listing) const {
+    listing.up_since_ms.clear();
+    for (const slatejunction::ListEntry& entry : listing.update.entries) {
+        const auto at = starts_.find(entry.server);
+        listing.up_since_ms.push_back(at == starts_.end() ? 0 : at->second.up_since_ms);
+    }
+}
+
 void StartTimes::remember(const slatejunction::ListEntry& entry, double up_since_ms, double now) {
     if (entry.state == slatejunction::ServerState::out) {
         if (const auto at = starts_.find(entry.server); at != starts_.end()) {
--- a/src/directory/start_times.hpp
+++ b/src/directory/start_times.hpp
@@ -23,6 +23,10 @@
     // The same for a copy that somebody kept: the list that all later ones are compared with. Its entries
     // have nothing but the wall clock.
     void settle_copy(Listing& copy, double now);
+    // From another process of this ingress, which has settled it already.
+    void adopt(const Listing& settled);
+    // Writes the stated start beside each entry of a list that is in force here.
+    void state(Listing& listing) const;
 
     std::size_t size() const { return starts_.size(); }   // backends remembered
 
--- a/src/handover/message.cpp
+++ b/src/handover/message.cpp
@@ -38,6 +38,16 @@
         if (!value || !value->IsUint64()) return good_ = false, 0;
         return value->GetUint64();
     }
+    std::int64_t whole(const char* name) {
+        const auto* value = find(name);
+        if (!value || !value->IsInt64()) return good_ = false, 0;
+        return value->GetInt64();
+    }
+    double real(const char* name) {
+        const auto* value = find(name);
+        if (!value || !value->IsNumber()) return good_ = false, 0.0;
+        return value->GetDouble();
+    }
     bool flag(const char* name) {
         const auto* value = find(name);
         if (!value || !value->IsBool()) return good_ = false;
@@ -63,13 +73,79 @@
     bool good_ = true;
 };
 
+constexpr std::array kPhases{"Ready", "Terminating"};   // in the order of ServerState
+
+using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
+
+// In the form of discovery's lists, with the start as the old process counts it: both processes have one
+// monotonic clock.
+void write_list(const directory::Listing& list, Writer& json) {
+    if (list.revision) {
+        json.Key("revision");
+        json.Int64(*list.revision);
+    }
+    json.Key("members");
+    json.StartArray();
+    for (std::size_t i = 0; i < list.update.entries.size(); ++i) {
+        const slatejunction::ListEntry& entry = list.update.entries[i];
+        json.StartObject();
+        const auto text = [&](const char* name, const std::string& value) {
+            json.Key(name);
+            json.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
+        };
+        text("id", entry.server);
+        text("host_port", list.addresses[i]);
+        text("locality", entry.zone);
+        text("flavor", entry.kind);
+        text("phase", kPhases[entry.state == slatejunction::ServerState::in ? 0 : 1]);
+        json.Key("cell");
+        json.Int64(entry.cell);
+        json.Key("size");
+        json.Double(entry.capacity_hint);
+        json.Key("up_since_ms");
+        json.Double(list.up_since_ms[i]);
+        json.Key("born_s");
+        json.Double(entry.born_s);
+        json.EndObject();
+    }
+    json.EndArray();
+}
+
+// False where an entry can't be read: then there is no list.
+bool read_list(const rapidjson::Value& json, directory::Listing& list) {
+    const auto members = json.FindMember("members");
+    if (members == json.MemberEnd() || !members->value.IsArray()) return false;
+    if (const auto at = json.FindMember("revision"); at != json.MemberEnd() && at->value.IsInt64())
+        list.revision = at->value.GetInt64();
+    for (const auto& one : members->value.GetArray()) {
+        if (!one.IsObject()) return false;
+        Reader fields(one);
+        slatejunction::ListEntry entry;
+        entry.server = fields.text("id");
+        const std::string address = fields.text("host_port");
+        entry.zone = fields.text("locality");
+        entry.kind = fields.text("flavor");
+        const bool ready = fields.text("phase") == kPhases[0];
+        entry.state = ready ? slatejunction::ServerState::in : slatejunction::ServerState::lame;
+        entry.cell = fields.whole("cell");
+        entry.capacity_hint = fields.real("size");
+        entry.born_s = fields.real("born_s");
+        const double up_since_ms = fields.real("up_since_ms");
+        if (!fields.good() || entry.server.empty()) return false;
+        list.update.entries.push_back(std::move(entry));
+        list.addresses.push_back(address);
+        list.up_since_ms.push_back(up_since_ms);
+    }
+    return true;
+}
+
 }   // namespace
 
 const char* word(Order::What what) { return kOrders[static_cast<std::size_t>(what)]; }
 
 std::string write(const Message& message) {
     rapidjson::StringBuffer out;
-    rapidjson::Writer<rapidjson::StringBuffer> json(out);
+    Writer json(out);
     const auto text = [&](const char* name, const std::string& value) {
         json.Key(name);
         json.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
@@ -98,6 +174,17 @@
         case Message::What::state:
             // Suspensions are all there, or the line is too long to be read and nothing is taken over.
             texts("suspended", message.suspended, ~std::size_t{0});
+            if (const std::size_t begun = out.GetSize(); !message.list.update.entries.empty()) {
+                rapidjson::StringBuffer list;
+                Writer members(list);
+                members.StartObject();
+                write_list(message.list, members);
+                members.EndObject();
+                if (begun + list.GetSize() < kLineMost - 1024) {
+                    json.Key("list");
+                    json.RawValue(list.GetString(), list.GetSize(), rapidjson::kObjectType);
+                }
+            }
             texts("listed", message.listed, kLineMost - 1024);
             json.Key("drained");
             json.Bool(message.drained);
@@ -156,6 +243,8 @@
             message.suspended = fields.texts("suspended");
             message.listed = fields.texts("listed");
             message.drained = fields.flag("drained");
+            if (const auto list = json.FindMember("list"); list != json.MemberEnd())
+                if (!list->value.IsObject() || !read_list(list->value, message.list)) message.list = {};
             [[fallthrough]];
         case Message::What::use:
             message.use.consumers = fields.number("consumers");
--- a/src/handover/message.hpp
+++ b/src/handover/message.hpp
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <vector>
 
+#include "directory/listing.hpp"
+
 namespace slatejunction::handover {
 
 inline constexpr int kVersion = 1;
@@ -35,7 +37,8 @@
         hello,    // new to old, first of all: name and listen
         busy,     // old to new: not now
         socket,   // old to new: the listening socket comes with this line
-        state,    // old to new, next: what operators said; `listed` may be cut short
+        state,    // old to new, next: what operators said and the list in force; `listed` may be cut short,
+                  // and `list` left out, where the line would grow too long
         taken,    // new to old: I accept
         back,     // new to old: I end, accept again
         use,      // either
@@ -46,6 +49,7 @@
     What what = What::hello;
     std::string name, listen;
     std::vector<std::string> listed, suspended;
+    directory::Listing list;   // empty: it was not said, as by an older process
     bool drained = false;
     Use use;
     Order order;
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -127,10 +127,12 @@
     tell(slatejunction::Start{});
     handover::Message state;
     net::Ref<GSocket> listening;
+    bool listed = false;
     const bool heir = handover_.ask(state, listening);
     if (heir) server_.adopt(std::move(listening));
     if (!listen_in_time(why, pause)) return false;
     if (heir) {
+        listed = take_over_list(state.list);
         directory::Listing change;
         for (const std::string& id : state.listed) operations_.remember(id);
         for (const std::string& id : state.suspended) operations_.impose(id, change);
@@ -139,7 +141,7 @@
         share_out();
         prepare_timer_.arm(net::now() + (config_.known.update.entries.empty() ? kPrepareAnew : kPrepare));
     }
-    start_times_.settle_copy(config_.known, net::now());
+    if (!listed) start_times_.settle_copy(config_.known, net::now());
     operations_.lay_over(config_.known);
     pool_.update(config_.known);
     slatejunction::ListUpdate known = config_.known.update;
@@ -153,6 +155,18 @@
     return true;
 }
 
+// What the old process was told is in force here before anything is sent on, and the file's copy is older:
+// the two count as one ingress, and discovery may be silent now.
+bool Ingress::take_over_list(directory::Listing& list) {
+    if (list.update.entries.empty()) return false;
+    for (slatejunction::ListEntry& entry : list.update.entries)
+        entry.born_s = std::min(entry.born_s, net::now());
+    list.update.kind = slatejunction::ListKind::warm_copy;
+    start_times_.adopt(list);
+    config_.known = std::move(list);
+    return true;
+}
+
 void Ingress::stop() {
     if (shutdown_.told()) return;
     const double now = net::now();
@@ -496,6 +510,9 @@
     message.suspended = operations_.suspended();
     message.drained = operations_.drained();
     message.use = use();
+    message.list = operations_.listed();
+    message.list.revision = watch_->newest();
+    start_times_.state(message.list);
     return message;
 }
 
--- a/src/ingress/ingress.hpp
+++ b/src/ingress/ingress.hpp
@@ -118,6 +118,7 @@
     bool listen_in_time(std::string& why, const std::function<bool(double)>& pause);
     admin::Reply ready_call() const;
     operations::Verdict carry_out(const handover::Order& order, bool from_other);
+    bool take_over_list(directory::Listing& list);   // false: there is none
     void share_out();                                // of the limits, with the other process
     void tell_change(directory::Listing& change);    // of the list, as operators have it
 
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -12,7 +12,10 @@
 namespace slatejunction::net {
 namespace {
 constexpr int kBacklog = 512;
-constexpr double kPause = 0.05;   // s; before accepting again after a failure, such as no descriptors left
+constexpr double kPause = 0.05;   // s; before accepting again after failures, such as no descriptors left
+// Accepts that fail in a row before it pauses. One alone says nothing of the next: a connection that broke
+// before it was accepted, or a system short of something for a moment.
+constexpr int kFailuresMost = 3;
 
 // A new process of this ingress may come to listen beside this one, where the system has that. GIO's own
 // bind takes SO_REUSEPORT off again for TCP.
@@ -98,12 +101,18 @@
     refusing_ = true;
 }
 
-// Bounded: more may come meanwhile.
+// Bounded: more may come meanwhile. An accept that fails tells nothing of those behind it.
 void Listener::take_waiting_and_stop() {
     for (int i = 0; i <= kBacklog && socket_ && !held_ && room_(); ++i) {
-        Ref<GSocket> taken(g_socket_accept(socket_.get(), nullptr, nullptr));
-        if (!taken) break;
-        taken_(std::move(taken));
+        GError* fault = nullptr;
+        Ref<GSocket> taken(g_socket_accept(socket_.get(), nullptr, &fault));
+        const Error error(fault);
+        if (taken)
+            taken_(std::move(taken));
+        else if (g_error_matches(fault, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+            break;
+        else
+            failed_(fault->message);
     }
     stop();
 }
@@ -133,9 +142,12 @@
     Ref<GSocket> taken(g_socket_accept(socket_.get(), nullptr, &fault));
     const Error error(fault);
     if (taken) {
+        failures_ = 0;
         taken_(std::move(taken));   // which may have it held, or stopped
-    } else if (!g_error_matches(fault, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
+    } else if (!g_error_matches(fault, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) &&
+               ++failures_ >= kFailuresMost) {
         // Guards against a spin: with no descriptors left the listener stays readable.
+        failures_ = 0;
         source_.reset();
         again_.arm(now() + kPause);
         failed_(fault->message);
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -43,6 +43,7 @@
     Ref<GSocket> socket_;
     Source source_;
     bool held_ = false, refusing_ = false;
+    int failures_ = 0;   // accepts that failed, in a row
 };
 
 }   // namespace slatejunction::net
--- a/src/operations/operations.cpp
+++ b/src/operations/operations.cpp
@@ -120,4 +120,15 @@
     return ids;
 }
 
+directory::Listing Operations::listed() const {
+    directory::Listing listing;
+    listing.update.kind = ListKind::total;
+    for (const auto& [id, one] : known_) {
+        if (one.gone != 0) continue;
+        listing.update.entries.push_back(one.entry);
+        listing.addresses.push_back(one.address);
+    }
+    return listing;
+}
+
 }   // namespace slatejunction::operations
--- a/src/operations/operations.hpp
+++ b/src/operations/operations.hpp
@@ -36,6 +36,7 @@
     bool suspended(std::string_view id) const;
     std::vector<std::string> suspended() const;
     std::vector<std::string> ever_listed() const;
+    directory::Listing listed() const;   // the whole list in force, as the directory has it
     std::size_t suspensions() const { return suspensions_; }
 
     // False when that was so already.
