--- a/standins/directory.hpp
+++ b/standins/directory.hpp
@@ -19,12 +19,14 @@
     // How calls are answered from now on; by default at once.
     struct Manner {
         double delay_s = 0;          // between a call, or its news, and the answer
-        bool silent = false;         // not at all, open watches included
+        bool silent = false;         // not at all, open watches included: what is asked now is lost
+        bool holds = false;          // not before it behaves otherwise: what is asked now is answered then
         bool turns_away = false;     // 503
         bool always_whole = false;   // with the whole list where changes would do
     };
     Directory(slatejunction::net::Timers& timers, std::string listen, std::vector<Member> members);
     bool start(std::string& why) { return server_.start(listen_, why); }
+    void end() { server_.stop(), server_.end_all(); }   // until the next start()
     // Ready, Terminating or Gone; false: no such provider.
     bool set(const std::string& id, const std::string& phase);
     bool restart(const std::string& id);   // Ready, and up since now
@@ -48,7 +50,7 @@
         std::weak_ptr<Client> client;
         int since = 0;   // the revision that it knows
     };
-    std::vector<Waiting> waiting_;
+    std::vector<Waiting> waiting_, held_;
     Manner manner_;
     Server server_;
 };
--- a/standins/server.cpp
+++ b/standins/server.cpp
@@ -137,6 +137,12 @@
     while (!clients_.empty()) (*clients_.begin())->end();
 }
 
+void Server::end_idle() {
+    const auto all = clients_;
+    for (const auto& client : all)
+        if (client->idle()) client->end();
+}
+
 void Server::take(net::Ref<GSocket> socket) {
     const auto client = std::make_shared<Client>(*this, timers_);
     clients_.insert(client);
--- a/standins/server.hpp
+++ b/standins/server.hpp
@@ -35,6 +35,7 @@
     void end();                            // now; what was sent may be lost
     void reset();                          // now, with a reset
     bool open() const { return stream.open(); }
+    bool idle() const { return !busy_ && !closing_ && in_.empty(); }
     // Calls later, unless the connection has ended by then.
     void later(double s, std::function<void()> call);
 
@@ -65,6 +66,7 @@
     bool start(const std::string& address, std::string& why);   // may be called again after stop()
     void stop();                                                // new connections are refused
     void end_all();                                             // connections
+    void end_idle();                                            // those on which nothing is asked
 
     // Looked at with each piece that comes: more than so many bytes of a message end the connection.
     std::size_t cut_after = SIZE_MAX;
