Look for room and for discovery sooner: requests waited behind idle clients

A silent connection may go after 0.02 s now (only in a full house, only with nothing readable), and the listener looks again after 0.02 s. After calls to discovery that were refused or given up the pause grows to 0.1 s only (0.5 s before; still 0.5 s after answers that fail, and longer where it turns callers away): the agent is on this machine, and what it gets at its return counts at once.

--- a/src/consumer/session.cpp
+++ b/src/consumer/session.cpp
@@ -26,8 +26,9 @@
 constexpr std::size_t kAtOnce = 32 * 1024;   // bytes of a large request read at once
 constexpr double kIdle = 10.0;               // s; without a request, after the last answer
 constexpr double kIdleMany = 2.2;            // s; the same among many: each costs every wake-up a look
-// s; how long a full house leaves each of these alone: one just made may be about to ask
-constexpr double kSpareLinger = 0.25, kSpareSilent = 0.1, kSpareHalf = 0.5;
+// s; how long a full house leaves each of these alone: one just made may be about to ask. Whoever waits in
+// the backlog behind idle clients has a request there that runs out of time meanwhile.
+constexpr double kSpareLinger = 0.25, kSpareSilent = 0.02, kSpareHalf = 0.5;
 
 constexpr double kRetryMost = 1e6;   // s; advice beyond it says the same, and its digits have a bound
 
--- a/src/directory/watch.cpp
+++ b/src/directory/watch.cpp
@@ -27,7 +27,10 @@
 // s; where the directory is there and turns callers away: half of it to half as much again is waited.
 constexpr double kFirstTurned = 0.2, kLongestTurned = 0.8, kTurnedSpread = 0.5;
 constexpr double kFirstPause = 0.05, kLongestPause = 0.5;   // s; before asking again after a failure
-constexpr double kTold = 6.0;                               // s; the rule's figure
+// s; the longest such pause after a call that was not taken, or not heard of again: the agent is on this
+// machine, and what it gets at the return of discovery counts at once.
+constexpr double kLongestUnheard = 0.1;
+constexpr double kTold = 6.0;   // s; the rule's figure
 
 }   // namespace
 
@@ -74,7 +77,7 @@
     parser_.reset();
     state_ = State::dialling;
     timer_.arm(net::now() + kDial);
-    if (!dial_()) fail("it can't be dialled");
+    if (!dial_()) fail("it can't be dialled", kLongestUnheard);
 }
 
 void Watch::on_open() { ask(); }
@@ -188,14 +191,14 @@
 
 void Watch::on_end(bool) {
     if (state_ == State::asking && parser_.feed(buffer_, true) == http::Step::done) return take();
-    fail("the connection ended");
+    fail("the connection ended", state_ == State::dialling ? kLongestUnheard : kLongestPause);
 }
 
 void Watch::overdue() {
     if (state_ == State::waiting) return dial();
     const bool watched = revision_ && !at_once_;
     if (state_ == State::asking && !watched) patient_ = !patient_;
-    fail("no answer in time");
+    fail("no answer in time", kLongestUnheard);
 }
 
 // Guards against a release in which most ingresses ask at once, and whom a busy directory turns away ask it
@@ -208,10 +211,12 @@
     timer_.arm(net::now() + pause * spread(random_));
 }
 
-void Watch::fail(const char* why) {
+void Watch::fail(const char* why) { fail(why, kLongestPause); }
+
+void Watch::fail(const char* why, double longest_pause_s) {
     transport_->close();
     state_ = State::waiting;
-    timer_.arm(net::now() + std::min(kLongestPause, kFirstPause * (1 << std::min(failures_, 5))));
+    timer_.arm(net::now() + std::min(longest_pause_s, kFirstPause * (1 << std::min(failures_, 5))));
     ++failures_;
     at_once_ = true;
     host_.on_lost(why);
--- a/src/directory/watch.hpp
+++ b/src/directory/watch.hpp
@@ -53,6 +53,7 @@
     bool older(const Listing& listing);
     void leave_by(Listing& listing);
     void fail(const char* why);
+    void fail(const char* why, double longest_pause_s);
     void turned_away();
     void overdue();
     int wait_ms() const;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -16,6 +16,8 @@
 // Accepts that fail in a row before it pauses. One alone says nothing of the next: a connection that broke
 // before it was accepted, or a system short of something for a moment.
 constexpr int kFailuresMost = 3;
+// s; before it looks for room again. Whoever waits in the backlog meanwhile may have sent a request.
+constexpr double kNoRoomPause = 0.02;
 
 // A new process of this ingress may come to listen beside this one, where the system has that. GIO's own
 // bind takes SO_REUSEPORT off again for TCP.
@@ -134,8 +136,9 @@
 }
 
 gboolean Listener::accept() {
-    if (!room_()) {   // the backlog waits; poke() goes on
+    if (!room_()) {   // the backlog waits; poke() goes on, or time does
         source_.reset();
+        again_.arm(now() + kNoRoomPause);
         return G_SOURCE_REMOVE;
     }
     GError* fault = nullptr;
