Play a limit over a restart while the wall clock steps: it begins anew

A customer that has used a limit of 20 passes 20 more where the clock stands an hour ahead at the next start, after SIGTERM and after SIGKILL: what was kept is aged by the wall clock.

--- a/tests/terms/terms_test.cpp
+++ b/tests/terms/terms_test.cpp
@@ -529,3 +529,36 @@
     for (const auto& one : all) CHECK(one->answers() == 1);
     HOLDS(world);
 }
+
+TEST_CASE("a limit's window is a span of real time, also over a restart while the clock steps",
+          "[terms][clock][limit]") {
+    const bool killed = GENERATE(false, true);
+    CAPTURE(killed);
+    Options options;
+    options.operators_file =
+        "[state]\ndirectory = $FOLDER\n[limit all]\nkey = request.plan\nrate = 0.01\nburst = 20\n";
+    World world(options);
+    world.start();
+    const auto ask = [&world] {
+        for (int i = 0; i < 30; ++i) {
+            world.ask("risk-read", 1);
+            world.run(0.05);
+        }
+    };
+    ask();
+    CHECK(served(world) == 20);
+    if (killed) {
+        world.run(6);   // until what was used has been kept
+        world.process = Process();
+    } else {
+        world.terminate();
+        world.run_until([&] { return world.exited(); }, 10);
+        world.process = Process();
+    }
+    world.forget_process();
+    world.options.environment = {"RIG_STEP=0,3600"};
+    world.start();
+    ask();
+    CHECK(served(world) <= 21);
+    HOLDS(world);
+}
--- a/tests/terms/world.cpp
+++ b/tests/terms/world.cpp
@@ -229,6 +229,11 @@
     }
     words.insert(words.end(), options.environment.begin(), options.environment.end());
     words.insert(words.end(), {PROGRAM, "serve", "--config", folder.file("config.json")});
+    if (options.operators_file.empty()) return words;
+    std::string text = options.operators_file;
+    for (std::size_t at; (at = text.find("$FOLDER")) != std::string::npos;)
+        text.replace(at, 7, folder.path());
+    words.insert(words.end(), {"--operator", folder.write("operator.ini", text)});
     return words;
 }
 
@@ -392,6 +397,10 @@
     if (killed_at == 0 && exit_status != 0)
         earlier_faults.push_back("the old process ended with status " + std::to_string(exit_status));
     process = std::move(heir);
+    forget_process();
+}
+
+void World::forget_process() {
     told_at = exited_at = killed_at = kill_at_ = 0;
     exit_status = -1;
 }
--- a/tests/terms/world.hpp
+++ b/tests/terms/world.hpp
@@ -62,6 +62,7 @@
     std::size_t sockets = 1024;
     double cold_from = 0.16, warm_within_s = 13, fall_multiple = 2, fall_s = 2;
     double backend_capacity = 0;   // requests a second of one that is warm; 0: slow start is not judged
+    std::string operators_file;    // its text, $FOLDER being the world's; empty: none
     std::vector<std::string> environment;   // NAME=VALUE; with any of them the rig's library is loaded
 };
 
@@ -163,6 +164,8 @@
     void restart_backend(std::size_t backend);
     std::size_t add_backend(bool listed = true);
 
+    // Before another start(): the process has ended.
+    void forget_process();
     // The new process of start_heir() in place of the old one, which has ended.
     void take_over();
     // SIGTERM, and SIGKILL at the earliest moment that the protocol page allows.
@@ -173,7 +176,7 @@
     // When what is being handled can have happened at the earliest: this thread may have been held up.
     double earliest() const { return previous_round_; }
 
-    const Options options;
+    Options options;   // a later start takes what has changed
     Folder folder;
     slatejunction::net::Timers timers;
     const int port = free_port(), admin_port = free_port();
