Age what limits keep by the machine's clock since its boot

Records of limits carry the boot's identifier and the clock since it beside the Unix time; within one boot the wall clock is not asked, else as before. Records of older versions are still read. Also: a sync of a replica's file that a signal interrupts (EINTR, as fsync(2) documents) is begun again; told as a failed write it would have written the same record twice, which a later start takes for damage (by reading, no test of its own).

--- a/src/rollout/files.cpp
+++ b/src/rollout/files.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <utility>
 
 #include "driver.pb.h"
@@ -43,7 +44,11 @@
 // What is written has reached the disk when this returns.
 std::int64_t write_through(int fd, const void* data, std::size_t size) {
     const ssize_t done = ::write(fd, data, size);
-    if (done >= 0 && ::fdatasync(fd) != 0) return -1;
+    if (done < 0) return done;
+    // A sync that a signal interrupts is begun again: told as a write, the same bytes would be written
+    // twice.
+    while (::fdatasync(fd) != 0)
+        if (errno != EINTR) return -1;
     return done;
 }
 
--- a/src/rules/keeper.cpp
+++ b/src/rules/keeper.cpp
@@ -3,18 +3,21 @@
 #include <algorithm>
 #include <chrono>
 #include <cstring>
+#include <fstream>
 #include <map>
 
+#include "lease/clock.hpp"
 #include "net/stream.hpp"
 
 namespace slatejunction::rules {
 namespace {
 
-constexpr std::uint32_t kKeys = 1;                     // the type of record
+// Types of records: as versions before wrote them, and with the clock since the boot.
+enum Type : std::uint32_t { kKeys = 1, kKeysOfBoot = 2 };
 constexpr std::size_t kLeast = 2000, kMost = 20'000;   // places looked at in one tick: 48 to 480 KB
 constexpr std::size_t kSegment = 1U << 30;             // bytes; a round is one segment, whatever its size
 
-std::int64_t unix_ms() {
+std::int64_t wall_clock_ms() {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
                std::chrono::system_clock::now().time_since_epoch())
         .count();
@@ -27,7 +30,16 @@
     return one.name + figures + one.key;
 }
 
-// A record: the bytes of the definition's size, the definition, Unix ms, then 24 bytes a key.
+// Which boot this is: the same for all processes of one machine until it starts anew.
+std::uint64_t boot_id() {
+    std::ifstream in("/proc/sys/kernel/random/boot_id");
+    std::string text;
+    std::getline(in, text);
+    return text.empty() ? 0 : store::check_of(text.data(), text.size());
+}
+
+// A record: the bytes of the definition's size, the definition, Unix ms, of kKeysOfBoot the boot and its
+// ms, then 24 bytes a key.
 struct Row {
     KeyHash key;
     double full_in_s;
@@ -50,20 +62,9 @@
 
 Keeper::Keeper(const std::string& directory, std::function<Rules*()> rules, net::Timers& timers, Log& log)
     : rules_(std::move(rules)), log_(log), timer_(timers, [this] { tick(); }) {
-    // By definition and key; later records go before earlier ones.
-    std::map<std::string, std::pair<std::int64_t, Limiter::Saved>> found;
+    std::map<std::string, Found> found;   // by definition and key; later records go before earlier ones
     const auto visit = [&](std::uint64_t, std::uint32_t type, std::string_view payload) {
-        std::uint32_t size = 0;
-        std::int64_t at_ms = 0;
-        if (type != kKeys || !get(payload, size) || payload.size() < size) return;
-        const std::string name(payload.substr(0, size));
-        payload.remove_prefix(size);
-        if (!get(payload, at_ms)) return;
-        for (Row row{}; get(payload, row);) {
-            std::string place = name + '\0';
-            put(place, row.key);
-            found[place] = {at_ms, {row.key, row.full_in_s}};
-        }
+        read_record(type, payload, found);
     };
     store::Journal::Found state;
     journal_ = std::make_unique<store::Journal>(directory, "limits", kSegment, visit, state);
@@ -71,22 +72,49 @@
     for (const std::string& path : state.broken)
         log_.write(Log::Level::error, now, "limits: a broken file was put aside as %s", path.c_str());
     for (const auto& [number, size] : journal_->segments()) older_.push_back(number);
-    restore(found, unix_ms());
+    restore(found);
+}
+
+Keeper::Stamp Keeper::Stamp::now() {
+    static const std::uint64_t boot = boot_id();
+    return {wall_clock_ms(), static_cast<std::int64_t>(1e3 * lease::boot_s()), boot};
+}
+
+// Within one boot the wall clock is not asked. A clock that has stepped back makes no store fuller.
+double Keeper::Stamp::age_s(const Stamp& now) const {
+    const bool same_boot = boot != 0 && boot == now.boot;
+    const std::int64_t ms = same_boot ? now.boot_ms - boot_ms : now.unix_ms - unix_ms;
+    return static_cast<double>(std::max<std::int64_t>(0, ms)) / 1e3;
+}
+
+void Keeper::read_record(std::uint32_t type, std::string_view payload,
+                         std::map<std::string, Found>& found) const {
+    std::uint32_t size = 0;
+    Stamp at;
+    if ((type != kKeys && type != kKeysOfBoot) || !get(payload, size) || payload.size() < size) return;
+    const std::string name(payload.substr(0, size));
+    payload.remove_prefix(size);
+    if (!get(payload, at.unix_ms)) return;
+    if (type == kKeysOfBoot && (!get(payload, at.boot) || !get(payload, at.boot_ms))) return;
+    for (Row row{}; get(payload, row);) {
+        std::string place = name + '\0';
+        put(place, row.key);
+        found[place] = {at, {row.key, row.full_in_s}};
+    }
 }
 
-void Keeper::restore(const std::map<std::string, std::pair<std::int64_t, Limiter::Saved>>& found,
-                     std::int64_t now_ms) {
+void Keeper::restore(const std::map<std::string, Found>& found) {
     Rules* const rules = rules_();
     if (!rules) return;
     const double now = net::now();
+    const Stamp stamp = Stamp::now();
     std::size_t restored = 0;
     const auto& limits = rules->settings().limits;
     for (std::size_t i = 0; i < limits.size(); ++i) {
         const std::string from = definition(limits[i]) + '\0';
         for (auto at = found.lower_bound(from); at != found.end() && at->first.starts_with(from); ++at) {
-            auto [at_ms, saved] = at->second;
-            // A clock that has stepped back makes no store fuller.
-            saved.full_in_s -= static_cast<double>(std::max<std::int64_t>(0, now_ms - at_ms)) / 1e3;
+            Limiter::Saved saved = at->second.saved;
+            saved.full_in_s -= at->second.at.age_s(stamp);
             if (saved.full_in_s <= 0) continue;
             rules->limiter(i).restore(now, saved);
             ++restored;
@@ -120,14 +148,17 @@
     const std::string name = definition(rules->settings().limits[limit_]);
     put(record, static_cast<std::uint32_t>(name.size()));
     record += name;
-    put(record, unix_ms());
+    const Stamp stamp = Stamp::now();
+    put(record, stamp.unix_ms);
+    put(record, stamp.boot);
+    put(record, stamp.boot_ms);
     const Limiter& limiter = rules->limiter(limit_);
     const auto ticks = static_cast<std::size_t>(kEvery / kTick);
     const std::size_t places = std::clamp(limiter.limits().keys_max / ticks, kLeast, kMost);
     for (const Limiter::Saved& one : limiter.save(net::now(), slot_, places))
         put(record, Row{one.key, one.full_in_s});
     if (slot_ == 0) ++limit_;
-    if (!journal_->append(kKeys, record)) return writing_ = false;
+    if (!journal_->append(kKeysOfBoot, record)) return writing_ = false;
     return true;
 }
 
--- a/src/rules/keeper.hpp
+++ b/src/rules/keeper.hpp
@@ -29,8 +29,21 @@
     void stop();
 
   private:
-    void restore(const std::map<std::string, std::pair<std::int64_t, Limiter::Saved>>& found,
-                 std::int64_t unix_ms);
+    // When a state was written: by the wall clock, and by the machine's clock since its boot, which no step
+    // of the wall clock touches.
+    struct Stamp {
+        std::int64_t unix_ms = 0, boot_ms = 0;
+        std::uint64_t boot = 0;   // which boot of which machine; 0: not known
+        static Stamp now();
+        double age_s(const Stamp& now) const;   // never below 0
+    };
+    struct Found {
+        Stamp at;
+        Limiter::Saved saved;
+    };
+    void read_record(std::uint32_t type, std::string_view payload,
+                     std::map<std::string, Found>& found) const;
+    void restore(const std::map<std::string, Found>& found);
     bool step();   // false: the round has ended, or can't be written
     bool begin_round();
     void tick();
