--- a/standins/directory.cpp
+++ b/standins/directory.cpp
@@ -97,7 +97,9 @@
 // With what there is once the delay is over.
 void Directory::answer(const std::shared_ptr<Client>& client, int since) {
     const auto give = [this, client, since] {
-        client->answer(200, since < 0 || manner_.always_whole ? whole() : changes(since));
+        const std::string list = since < 0 || manner_.always_whole ? whole() : changes(since);
+        bytes_told_ += list.size();
+        client->answer(200, list);
     };
     if (manner_.delay_s <= 0) {
         client->later(1, [] {});   // in place of its time-out
--- a/standins/directory.hpp
+++ b/standins/directory.hpp
@@ -33,6 +33,7 @@
     void add(Member member);               // as a backend that has just come
     void behave(const Manner& manner);
     int revision() const { return revision_; }
+    std::size_t bytes_told() const { return bytes_told_; }   // of lists, whole and changes
     std::string whole() const;
     std::string changes(int since) const;   // what has changed after that revision
     std::string summary() const;
@@ -45,7 +46,7 @@
     const std::string listen_;
     std::vector<Member> members_;
     int revision_ = 1;
-    std::size_t asked_ = 0;
+    std::size_t asked_ = 0, bytes_told_ = 0;
     struct Waiting {
         std::weak_ptr<Client> client;
         int since = 0;   // the revision that it knows
--- a/standins/server.cpp
+++ b/standins/server.cpp
@@ -146,6 +146,7 @@
 void Server::take(net::Ref<GSocket> socket) {
     const auto client = std::make_shared<Client>(*this, timers_);
     clients_.insert(client);
+    ++accepted;
     client->stream.adopt(std::move(socket));
 }
 
--- a/standins/server.hpp
+++ b/standins/server.hpp
@@ -68,6 +68,8 @@
     void end_all();                                             // connections
     void end_idle();                                            // those on which nothing is asked
 
+    std::size_t accepted = 0;   // connections so far
+
     // Looked at with each piece that comes: more than so many bytes of a message end the connection.
     std::size_t cut_after = SIZE_MAX;
 
--- a/tests/terms/terms_test.cpp
+++ b/tests/terms/terms_test.cpp
@@ -562,3 +562,30 @@
     CHECK(served(world) <= 21);
     HOLDS(world);
 }
+
+TEST_CASE("a start is ready in time whatever discovery does, and hears it at its return",
+          "[terms][start]") {
+    const std::string trouble = GENERATE("silent", "refuses", "turns away", "slow");
+    CAPTURE(trouble);
+    Options options;
+    World world(options);
+    standin::Directory::Manner manner;
+    manner.silent = trouble == "silent";
+    manner.turns_away = trouble == "turns away";
+    manner.delay_s = trouble == "slow" ? 1.0 : 0;
+    for (const auto& one : world.discovery) one->behave(manner);
+    if (trouble == "refuses") world.discovery[0]->end();
+    const double began = net::now();
+    world.start();
+    CHECK(net::now() - began < 2);
+    load(world, 50);
+    world.run(1);
+    CHECK(served(world) > 30);   // by the copy that the configuration holds
+    world.set_phase(0, "Terminating");
+    std::string why;
+    if (trouble == "refuses") REQUIRE(world.discovery[0]->start(why));
+    for (const auto& one : world.discovery) one->behave({});
+    world.discovery_troubles.emplace_back(began, net::now());
+    world.run(7.5);
+    HOLDS(world);
+}
--- a/tests/terms/world.cpp
+++ b/tests/terms/world.cpp
@@ -47,7 +47,8 @@
       world_(world),
       index_(index) {
     std::string why;
-    REQUIRE(server.start(address_of(port), why));
+    // The first one serves at every address of loopback.
+    REQUIRE(server.start(index == 0 ? "0.0.0.0:" + std::to_string(port) : address_of(port), why));
 }
 
 void Backend::on_request(const std::shared_ptr<standin::Client>& client, const standin::Request& request) {
@@ -184,6 +185,10 @@
 std::vector<standin::Directory::Member> World::members() const {
     std::vector<standin::Directory::Member> all;
     for (const auto& one : backends) all.push_back({one->id(), address_of(one->port)});
+    const std::string shared = backends.empty() ? "" : std::to_string(backends[0]->port);
+    for (std::size_t i = 0; i < options.more_ready; ++i)
+        all.push_back({"w-" + std::to_string(100000 + i), "127.2." + std::to_string(i / 250) + "." +
+                                                              std::to_string(1 + i % 250) + ":" + shared});
     for (std::size_t i = 0; i < options.more_listed; ++i)
         all.push_back({"t-" + std::to_string(100000 + i),
                        "127.1." + std::to_string(i / 250) + "." + std::to_string(1 + i % 250) + ":8080",
--- a/tests/terms/world.hpp
+++ b/tests/terms/world.hpp
@@ -57,6 +57,7 @@
     std::size_t backends = 3;
     double service_s = 0.02;
     std::size_t more_listed = 0;   // Terminating entries that the list holds beside the backends
+    std::size_t more_ready = 0;    // entries that take requests, at addresses that the first backend serves
     bool known = true;             // the configuration's copy of the list holds the backends
     bool parallel_tries = true;
     std::size_t sockets = 1024;
