Take a whole list as whole where an entry of it can't be read

An entry without a known phase, or with an address that is none, made the whole list count as changes: backends that it left out stayed in use, for as long as that entry stood there. Now the list stays whole if each such entry names its backend, which stays as it was listed last; only where an entry has no name the list counts as changes, as before.

--- a/src/directory/listing.cpp
+++ b/src/directory/listing.cpp
@@ -70,12 +70,14 @@
     listing.update.entries.clear();
     listing.addresses.clear();
     listing.up_since_ms.clear();
+    listing.unread.clear();
     for (const rapidjson::Value& member : members.GetArray()) {
         slatejunction::ListEntry entry;
         std::string address;
         double up_since_ms = 0;
         if (!read_entry(member, clock, entry, address, up_since_ms)) {
             ++broken;
+            if (!entry.server.empty()) listing.unread.push_back(std::move(entry.server));
             continue;
         }
         listing.update.entries.push_back(std::move(entry));
@@ -97,7 +99,8 @@
         return false;
     listing.revision = revision->value.GetInt64();
     broken = read_members(members->value, clock, listing);
-    listing.update.kind = complete->value.GetBool() && broken == 0 ? ListKind::total : ListKind::changes;
+    const bool all_named = static_cast<std::size_t>(broken) == listing.unread.size();
+    listing.update.kind = complete->value.GetBool() && all_named ? ListKind::total : ListKind::changes;
     return true;
 }
 
--- a/src/directory/listing.hpp
+++ b/src/directory/listing.hpp
@@ -18,6 +18,8 @@
     slatejunction::ListUpdate update;
     std::vector<std::string> addresses;   // host:port, beside update.entries
     std::vector<double> up_since_ms;      // the start as it was stated, likewise; 0: long ago
+    // Named by entries that can't be read: these stay as they were.
+    std::vector<std::string> unread;
     bool operator==(const Listing&) const = default;
 };
 
@@ -40,8 +42,9 @@
 // A figure as a whole number; 0 beyond all integers, as the cast of such a number has no defined value.
 std::int64_t whole(double value);
 
-// False when it is no list at all. An entry that can't be read is left out and counted in `broken`; a
-// complete list with such a hole is given as changes, so that it takes no provider away.
+// False when it is no list at all. An entry that can't be read is left out and counted in `broken`. A
+// complete list stays one if each such entry names its backend; else it is given as changes, so that it
+// takes none away.
 bool read_listing(const rapidjson::Value& json, const UnixClock& clock, Listing& listing, int& broken);
 
 // The same for a copy that somebody kept: its members count whatever else is missing, as the directory's
--- a/src/directory/start_times.cpp
+++ b/src/directory/start_times.cpp
@@ -12,6 +12,10 @@
 }   // namespace
 
 void StartTimes::settle(Listing& listing, double now) {
+    for (std::size_t i = listing.up_since_ms.size(); i < listing.update.entries.size(); ++i) {
+        const auto known = starts_.find(listing.update.entries[i].server);
+        listing.up_since_ms.push_back(known == starts_.end() ? 0 : known->second.up_since_ms);
+    }
     std::vector<std::size_t> newcomers;
     for (std::size_t i = 0; i < listing.update.entries.size(); ++i) {
         slatejunction::ListEntry& entry = listing.update.entries[i];
--- a/src/directory/start_times.hpp
+++ b/src/directory/start_times.hpp
@@ -18,7 +18,8 @@
 class StartTimes {
   public:
     // Sets `born_s` of each entry of a list that discovery has told at `now` (s, net::now()); on its way in
-    // it is what the wall clock says. Every whole answer counts, also one that names nothing.
+    // it is what the wall clock says. Every whole answer counts, also one that names nothing. Entries
+    // behind those with a stated start are known ones, and get theirs.
     void settle(Listing& listing, double now);
     // The same for a copy that somebody kept: the list that all later ones are compared with. Its entries
     // have nothing but the wall clock.
--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -392,6 +392,7 @@
 }
 
 void Ingress::on_listing(directory::Listing& listing) {
+    operations_.restore_unread(listing);
     start_times_.settle(listing, net::now());
     operations_.lay_over(listing);
     const bool first = handover_.role().state() == handover::Role::State::preparing;
--- a/src/operations/operations.cpp
+++ b/src/operations/operations.cpp
@@ -40,6 +40,15 @@
     }
 }
 
+void Operations::restore_unread(directory::Listing& listing) const {
+    for (const std::string& id : listing.unread) {
+        const auto at = known_.find(id);
+        if (at == known_.end() || at->second.gone != 0) continue;
+        listing.update.entries.push_back(at->second.entry);
+        listing.addresses.push_back(at->second.address);
+    }
+}
+
 void Operations::lay_over(directory::Listing& listing) {
     std::unordered_set<std::string_view> named;
     const bool whole = listing.update.kind != ListKind::changes;
--- a/src/operations/operations.hpp
+++ b/src/operations/operations.hpp
@@ -23,6 +23,8 @@
 
 class Operations {
   public:
+    // Puts those that the listing names without being read back into it, as they were listed last.
+    void restore_unread(directory::Listing& listing) const;
     // Remembers what the directory lists, and makes each suspended entry Terminating, whatever is listed.
     void lay_over(directory::Listing& listing);
 
