Log a trouble with discovery once in a while, and count descriptors in the soak

One trouble is logged every 5 s now, another one after 1 s. The rig's preloaded library copied from empty pieces that have no address, which the undefined-behaviour sanitizer ended: all runs with failing or short system calls failed under it. In crowds the soak counts descriptors against the limit.

--- a/src/ingress/ingress.cpp
+++ b/src/ingress/ingress.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::size_t kReserve = 32;   // descriptors: standard streams, listener, directory, GLib's own
 constexpr double kSweepEvery = 0.2;    // s
+constexpr double kLostEvery = 5.0;     // s; between log lines of one trouble with discovery
 constexpr double kMemoryPart =
     0.2;   // of the memory, for the bytes of consumers, and for those of providers
 constexpr double kMemoryMost = 1e9;       // MB; more is no machine's, and its bytes have to be countable
@@ -596,8 +597,14 @@
     log_.write(Log::Level::warning, net::now(), "operators' address: accepting failed: %s", why);
 }
 
+// Calls follow one another quickly while discovery is away: a line for each would crowd out all others.
 void Ingress::on_lost(const char* why) {
-    log_.write(Log::Level::warning, net::now(), "directory: %s", why);
+    const double now = net::now();
+    if (now - lost_told_at_ >= (lost_why_ == why ? kLostEvery : kLostEvery / 5)) {
+        log_.write(Log::Level::warning, now, "directory: %s", why);
+        lost_why_ = why;
+        lost_told_at_ = now;
+    }
     tell(slatejunction::ListUpdate{slatejunction::ListKind::lost, {}});
 }
 
--- a/src/ingress/ingress.hpp
+++ b/src/ingress/ingress.hpp
@@ -176,6 +176,8 @@
     handover::Use theirs_;       // what the other process holds
     std::shared_ptr<WatchLink> watch_;
     directory::StartTimes start_times_;
+    std::string lost_why_;   // the trouble with discovery that was logged last, and when (s)
+    double lost_told_at_ = 0;
     std::vector<Judge*> judges_;
     std::vector<Overlay*> overlays_;
     std::vector<CallTaker*> takers_;
--- a/tests/fleet/preload.cpp
+++ b/tests/fleet/preload.cpp
@@ -107,6 +107,7 @@
         std::size_t size = 0;
         for (std::size_t i = 0; i < message->msg_iovlen && size < sizeof head; ++i) {
             const std::size_t some = std::min(sizeof head - size, message->msg_iov[i].iov_len);
+            if (some == 0) continue;   // an empty piece may have no address
             std::memcpy(head + size, message->msg_iov[i].iov_base, some);
             size += some;
         }
--- a/tests/terms/soak_test.cpp
+++ b/tests/terms/soak_test.cpp
@@ -2,6 +2,7 @@
 // do what the pages name, signals in series, system calls that fail, a wall clock that is off; some runs
 // with a crowd of idle clients, an upgrade or both. The judge looks at the records.
 #include <catch2/catch.hpp>
+#include <filesystem>
 #include <random>
 
 #include "judge.hpp"
@@ -32,6 +33,7 @@
         world_->every(1.7, [this] { trouble_discovery(); });
         world_->every(0.9, [this] { signal(); });
         if (crowd_) world_->every(0.02, [this] { come_idle(); });
+        if (crowd_) world_->every(0.1, [this] { count_descriptors(); });
         world_->run(kServesS / 2);
         if (upgrade_) upgrade();
         world_->run(kServesS / 2);
@@ -42,6 +44,7 @@
         if (static_cast<double>(served) < kServedLeast * static_cast<double>(world_->requests.size()))
             faults.push_back("served " + std::to_string(served) + " of " +
                              std::to_string(world_->requests.size()));
+        if (most_ > world_->options.sockets) faults.push_back(std::to_string(most_) + " descriptors");
         return faults;
     }
     // What was drawn, for messages.
@@ -116,6 +119,14 @@
             idle_.push_back(std::make_shared<Client>(*world_, world_->port));
     }
 
+    // What the process holds is within its limit, however many come.
+    void count_descriptors() {
+        if (world_->exited() || upgrade_) return;
+        const std::filesystem::directory_iterator all("/proc/" + std::to_string(world_->process.id()) +
+                                                      "/fd");
+        most_ = std::max(most_, static_cast<std::size_t>(std::distance(begin(all), end(all))));
+    }
+
     void later(double s, std::function<void()> call) {
         timers_.push_back(std::make_unique<net::Timer>(world_->timers, std::move(call)));
         timers_.back()->arm(net::now() + s);
@@ -207,11 +218,10 @@
     }
 
     void upgrade() {
-        const int admin = world_->start_heir();
+        world_->start_heir();
         world_->terminate();
         world_->run_until([this] { return world_->exited(); }, 10);
         world_->take_over();
-        admin_ = admin;
     }
 
     // Some backends hang just then, and signals come in series.
@@ -230,8 +240,8 @@
 
     std::mt19937 random_;
     const bool crowd_, upgrade_;
-    const double rate_;   // requests a second
-    int admin_ = 0;
+    const double rate_;      // requests a second
+    std::size_t most_ = 0;   // descriptors
     std::unique_ptr<World> world_;
     std::vector<std::unique_ptr<net::Timer>> timers_;
     std::vector<std::shared_ptr<Client>> idle_;
