--- a/tests/terms/terms_test.cpp
+++ b/tests/terms/terms_test.cpp
@@ -529,3 +529,63 @@
     for (const auto& one : all) CHECK(one->answers() == 1);
     HOLDS(world);
 }
+
+TEST_CASE("a limit's window is a span of real time, also over a restart while the clock steps",
+          "[terms][clock][limit]") {
+    const bool killed = GENERATE(false, true);
+    CAPTURE(killed);
+    Options options;
+    options.operators_file =
+        "[state]\ndirectory = $FOLDER\n[limit all]\nkey = request.plan\nrate = 0.01\nburst = 20\n";
+    World world(options);
+    world.start();
+    const auto ask = [&world] {
+        for (int i = 0; i < 30; ++i) {
+            world.ask("risk-read", 1);
+            world.run(0.05);
+        }
+    };
+    ask();
+    CHECK(served(world) == 20);
+    if (killed) {
+        world.run(6);   // until what was used has been kept
+        world.process = Process();
+    } else {
+        world.terminate();
+        world.run_until([&] { return world.exited(); }, 10);
+        world.process = Process();
+    }
+    world.forget_process();
+    world.options.environment = {"RIG_STEP=0,3600"};
+    world.start();
+    ask();
+    CHECK(served(world) <= 21);
+    HOLDS(world);
+}
+
+TEST_CASE("a start is ready in time whatever discovery does, and hears it at its return",
+          "[terms][start]") {
+    const std::string trouble = GENERATE("silent", "refuses", "turns away", "slow");
+    CAPTURE(trouble);
+    Options options;
+    World world(options);
+    standin::Directory::Manner manner;
+    manner.silent = trouble == "silent";
+    manner.turns_away = trouble == "turns away";
+    manner.delay_s = trouble == "slow" ? 1.0 : 0;
+    for (const auto& one : world.discovery) one->behave(manner);
+    if (trouble == "refuses") world.discovery[0]->end();
+    const double began = net::now();
+    world.start();
+    CHECK(net::now() - began < 2);
+    load(world, 50);
+    world.run(1);
+    CHECK(served(world) > 30);   // by the copy that the configuration holds
+    world.set_phase(0, "Terminating");
+    std::string why;
+    if (trouble == "refuses") REQUIRE(world.discovery[0]->start(why));
+    for (const auto& one : world.discovery) one->behave({});
+    world.discovery_troubles.emplace_back(began, net::now());
+    world.run(7.5);
+    HOLDS(world);
+}
--- a/tests/terms/world.cpp
+++ b/tests/terms/world.cpp
@@ -47,7 +47,8 @@
       world_(world),
       index_(index) {
     std::string why;
-    REQUIRE(server.start(address_of(port), why));
+    // The first one serves at every address of loopback.
+    REQUIRE(server.start(index == 0 ? "0.0.0.0:" + std::to_string(port) : address_of(port), why));
 }
 
 void Backend::on_request(const std::shared_ptr<standin::Client>& client, const standin::Request& request) {
@@ -184,6 +185,10 @@
 std::vector<standin::Directory::Member> World::members() const {
     std::vector<standin::Directory::Member> all;
     for (const auto& one : backends) all.push_back({one->id(), address_of(one->port)});
+    const std::string shared = backends.empty() ? "" : std::to_string(backends[0]->port);
+    for (std::size_t i = 0; i < options.more_ready; ++i)
+        all.push_back({"w-" + std::to_string(100000 + i), "127.2." + std::to_string(i / 250) + "." +
+                                                              std::to_string(1 + i % 250) + ":" + shared});
     for (std::size_t i = 0; i < options.more_listed; ++i)
         all.push_back({"t-" + std::to_string(100000 + i),
                        "127.1." + std::to_string(i / 250) + "." + std::to_string(1 + i % 250) + ":8080",
@@ -229,6 +234,11 @@
     }
     words.insert(words.end(), options.environment.begin(), options.environment.end());
     words.insert(words.end(), {PROGRAM, "serve", "--config", folder.file("config.json")});
+    if (options.operators_file.empty()) return words;
+    std::string text = options.operators_file;
+    for (std::size_t at; (at = text.find("$FOLDER")) != std::string::npos;)
+        text.replace(at, 7, folder.path());
+    words.insert(words.end(), {"--operator", folder.write("operator.ini", text)});
     return words;
 }
 
@@ -392,6 +402,10 @@
     if (killed_at == 0 && exit_status != 0)
         earlier_faults.push_back("the old process ended with status " + std::to_string(exit_status));
     process = std::move(heir);
+    forget_process();
+}
+
+void World::forget_process() {
     told_at = exited_at = killed_at = kill_at_ = 0;
     exit_status = -1;
 }
