Ask limits at the present time, not at a request's arrival

A request's arrival may lie before that of one judged earlier since times count from when bytes came; a limit's store must not be asked at a time before the last one. Found by reading the uses of Invocation::arrived; the only other ones are durations that are reported.

--- a/src/app/rules_part.cpp
+++ b/src/app/rules_part.cpp
@@ -107,7 +107,7 @@
         judged = std::move(spare_.back());
         spare_.pop_back();
     }
-    judged_at_ = i.arrived;   // just now
+    judged_at_ = net::now();   // not when it arrived: limits are asked in the order of time
     rules_->judge(judged_at_, facts, judged->verdict);
     judged_at_ = 0;
     judged->rules = number_;
