--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -80,6 +80,8 @@
     /// Ends both directions, so that a thread that reads returns.
     void shut();
     void close();
+    /// How many bytes of the next message have been read.
+    std::size_t buffered() const { return buffer_.size(); }
     /// While this returns true, nothing is read.
     std::function<bool()> paused;
 
