--- a/review/standins-2/case-6.cpp
+++ b/review/standins-2/case-6.cpp
@@ -1,5 +1,5 @@
-// Case 6: clients that read large answers at 66 kB a second, steadily. Each answer has its length; it must come
-// whole, or the client must have ended the connection itself.
+// Case 6: clients that read large answers at 66 kB a second, steadily. Each answer has its length; it must
+// come whole, or the client must have ended the connection itself.
 #include <fstream>
 #include <sstream>
 
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr double kPace = 66000;   // bytes a second; the page allows 64 kB a second
-constexpr int kClients = 48;
-constexpr std::size_t kStep = 2500;
+constexpr int kClients = 96;
+constexpr std::size_t kStep = 1250;
 
 std::string body_of(std::size_t size) {
     std::string body(size, 'x');
@@ -19,7 +19,8 @@
     return body;
 }
 
-// Bytes that the system holds between the ingress at `port` and a client at `client_port`, by /proc/net/tcp.
+// Bytes that the system holds between the ingress at `port` and a client at `client_port`, by
+// /proc/net/tcp.
 std::size_t held_bytes(int port, int client_port) {
     std::ifstream in("/proc/net/tcp");
     std::string line;
@@ -71,7 +72,7 @@
         fits = held_bytes(port, ntohs(self.sin_port));
         ::close(fd);
     }
-    if (fits < 100000 || fits > (7 << 20)) {
+    if (fits < 400000 || fits > (6 << 20)) {   // too small for a large answer, too long for 120 s
         record("%zu bytes fit into the buffers: the case can't run here", fits);
         finish(2);
     }
@@ -81,7 +82,7 @@
     std::vector<std::thread> clients;
     for (int k = 0; k < kClients; ++k)
         clients.emplace_back([&, k] {
-            sleep_s(0.15 * k);
+            sleep_s(0.08 * k);
             const std::size_t size = fits - 48000 + kStep * static_cast<std::size_t>(k);
             const std::string id = "large-" + std::to_string(k);
             const int fd = dial(port, 2, 65536);
@@ -109,18 +110,20 @@
                 got += static_cast<std::size_t>(last);
                 if (trouble()) sleep_s(first_at + static_cast<double>(got) / kPace - now());
             }
-            record("%s: status 200, Content-Length %zu, first bytes after %.3f s; got %zu bytes in %.1f s%s%s",
-                   id.c_str(), size, first_at - sent_at, got, now() - first_at,
-                   got == size ? ", whole"
-                   : last == 0 ? ", CUT: the ingress closed the connection"
-                               : ", CUT: the connection was reset or silent",
-                   same ? "" : ", OTHER BYTES");
+            record(
+                "%s: status 200, Content-Length %zu, first bytes after %.3f s; got %zu bytes in %.1f s%s%s",
+                id.c_str(), size, first_at - sent_at, got, now() - first_at,
+                got == size ? ", whole"
+                : last == 0 ? ", CUT: the ingress closed the connection"
+                            : ", CUT: the connection was reset or silent",
+                same ? "" : ", OTHER BYTES");
             ++(got == size && same ? whole : cut);
             ::close(fd);
         });
     for (std::thread& one_client : clients) one_client.join();
     record("answers: %d whole, %d cut, %d refused or failed", whole.load(), cut.load(), other.load());
-    std::printf("answers: %d whole, %d cut, %d refused or failed\n", whole.load(), cut.load(), other.load());
+    std::printf("answers: %d whole, %d cut, %d refused or failed\n", whole.load(), cut.load(),
+                other.load());
     if (whole + cut < kClients / 2) finish(2);
     finish(cut > 0 ? 1 : 0);
 }
--- a/review/standins-2/case-7.cpp
+++ b/review/standins-2/case-7.cpp
@@ -1,5 +1,6 @@
 // Case 7: requests that may not be repeated, at backends of which two of four hang in the middle of their
-// work: they have begun an answer, of unknown length, and write no more. Each request has to get its final answer.
+// work: they have begun an answer, of unknown length, and write no more. Each request has to get its final
+// answer.
 #include "rig.hpp"
 
 using namespace rig;
@@ -63,7 +64,8 @@
             const int result = read_message(fd, rest, answer, sent_at + deadline + 20);
             const double took = now() - sent_at;
             const bool in_time = result != -2 && took <= deadline + kSlackS;
-            record("%s: X-Deadline %.1f, status %d, %s after %.2f s%s", id.c_str(), deadline, answer.status(),
+            record("%s: X-Deadline %.1f, status %d, %s after %.2f s%s", id.c_str(), deadline,
+                   answer.status(),
                    result == 1    ? "whole"
                    : result == -2 ? "still not final"
                                   : "not whole, the connection ended",
--- a/review/standins-2/case-8.cpp
+++ b/review/standins-2/case-8.cpp
@@ -1,6 +1,6 @@
-// Case 8: clients send four commands at once on a connection, the second of which has a long answer. Backends reset
-// some connections under a long answer that has begun. The commands behind it have been read by the ingress, and
-// must get a final answer.
+// Case 8: clients send four commands at once on a connection, the second of which has a long answer.
+// Backends reset some connections under a long answer that has begun. The commands behind it have been read
+// by the ingress, and must get a final answer.
 #include "rig.hpp"
 
 using namespace rig;
@@ -63,7 +63,8 @@
         std::vector<std::string> ids, texts;
         std::string all;
         for (int i = 0; i < kCommands; ++i) {
-            ids.push_back("c" + std::to_string(client) + "-" + std::to_string(round) + "-" + std::to_string(i));
+            ids.push_back("c" + std::to_string(client) + "-" + std::to_string(round) + "-" +
+                          std::to_string(i));
             texts.push_back(command(ids.back(), i, 1 + client));
             all += texts.back();
         }
@@ -97,16 +98,17 @@
                 const std::lock_guard guard(lock);
                 runs = ran[ids[at]];
             }
-            // A close over unread bytes resets the connection, and an answer with "Connection: close" tells the
-            // client that nothing behind it was taken: such a command is sent once more.
+            // A close over unread bytes resets the connection, and an answer with "Connection: close" tells
+            // the client that nothing behind it was taken: such a command is sent once more.
             if (result < 0 || close_told) {
                 ++again;
                 lost += !repeat(texts[at]);
                 continue;
             }
-            record("%s: written whole with the others, read by the ingress (the close is no reset), no answer "
-                   "of any kind; backends got it %d times: LOST",
-                   ids[at].c_str(), runs);
+            record(
+                "%s: written whole with the others, read by the ingress (the close is no reset), no answer "
+                "of any kind; backends got it %d times: LOST",
+                ids[at].c_str(), runs);
             ++lost;
         }
     };
@@ -121,8 +123,9 @@
     for (std::thread& client : clients) client.join();
     record("commands: %d served, %d refused or failed, %d broken off by a backend, %d sent again, %d lost",
            whole.load(), failed.load(), broken.load(), again.load(), lost.load());
-    std::printf("commands: %d served, %d refused or failed, %d broken off by a backend, %d sent again, %d lost\n",
-                whole.load(), failed.load(), broken.load(), again.load(), lost.load());
+    std::printf(
+        "commands: %d served, %d refused or failed, %d broken off by a backend, %d sent again, %d lost\n",
+        whole.load(), failed.load(), broken.load(), again.load(), lost.load());
     if (whole < 50 || (trouble() && resets == 0)) finish(2);
     finish(lost > 0 ? 1 : 0);
 }
--- a/review/standins-2/rig.hpp
+++ b/review/standins-2/rig.hpp
@@ -1,6 +1,6 @@
-// Stand-ins of the second review, for one process: backends, discovery, clients and the start of the ingress.
-// They follow the operators' protocol page: HTTP/1.1 on loopback, one thread for each connection. Everything
-// that passes is written to the record of the case.
+// Stand-ins of the second review, for one process: backends, discovery, clients and the start of the
+// ingress. They follow the operators' protocol page: HTTP/1.1 on loopback, one thread for each connection.
+// Everything that passes is written to the record of the case.
 #pragma once
 
 #include <arpa/inet.h>
@@ -101,8 +101,7 @@
     if (fd < 0) return -1;
     const int one = 1;
     ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-    if (receive_buffer > 0)
-        ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
+    if (receive_buffer > 0) ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
     const timeval most{static_cast<time_t>(timeout_s), 0};
     ::setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &most, sizeof most);
     sockaddr_in at = loopback(port);
@@ -381,7 +380,8 @@
     std::string text;
     if (std::FILE* const file = std::fopen(path.c_str(), "r")) {
         char block[65536];
-        for (std::size_t got; (got = std::fread(block, 1, sizeof block, file)) > 0;) text.append(block, got);
+        for (std::size_t got; (got = std::fread(block, 1, sizeof block, file)) > 0;)
+            text.append(block, got);
         std::fclose(file);
     }
     return text;
